--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Commands for developers and users; each one starts from a fresh clone.
+SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+MISSING := $(shell dpkg-query -W -f='$${Package} $${db:Status-Status}\n' $$(cat packages.txt) 2>/dev/null \
+	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
+SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
+
+.PHONY: install build test format format-check lint clean
+
+install:
+	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
+
+build: install
+	cmake --preset release
+	cmake --build --preset release
+
+test: build
+	ctest --preset release
+
+format:
+	$(SOURCES) | xargs clang-format -i
+
+format-check:
+	$(SOURCES) | xargs clang-format --dry-run --Werror
+
+# LINT_FILES narrows the check while working: make lint LINT_FILES='a.cpp b.cpp'
+lint:
+	cmake --preset release >/dev/null
+	$(if $(LINT_FILES),echo $(LINT_FILES) | tr ' ' '\n',git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '/generated/') \
+		| xargs -P $$(nproc) -n 1 clang-tidy -p build/release --quiet
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/chervilport/consensus/persisted_state.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "chervilport/consensus/hard_state.h"
+#include "chervilport/consensus/log_entry.h"
+#include "chervilport/consensus/snapshot.h"
+
+#include <optional>
+#include <vector>
+
+namespace chervilport {
+
+/// What storage gives back at a start.
+struct persisted_state {
+    /// Term and vote.
+    hard_state hard;
+    /// Last snapshot, if one was taken.
+    std::optional<snapshot> lastSnapshot;
+    /// Entries after the snapshot, without gaps.
+    std::vector<log_entry> entries;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/consensus/snapshot.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "chervilport/consensus/membership.h"
+
+#include <cstdint>
+#include <string>
+
+namespace chervilport {
+
+/// The state of the state machine after the entry `index`.
+struct snapshot {
+    /// Index of the last entry included.
+    std::uint64_t index = 0;
+    /// Term of that entry.
+    std::uint64_t term = 0;
+    /// Membership at that entry.
+    membership members;
+    /// Encoded state of the state machine.
+    std::string data;
+
+    friend bool operator==(const snapshot&, const snapshot&) = default;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/event.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "chervilport/scheduling/job_id.h"
+#include "chervilport/scheduling/job_spec.h"
+#include "chervilport/scheduling/policy_config.h"
+#include "chervilport/scheduling/resources.h"
+#include "chervilport/scheduling/workspace_config.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chervilport {
+
+/// A new configuration is in force in this domain.
+struct configuration_changed {
+    /// Version of the production document.
+    std::uint64_t version = 0;
+    /// All workspaces of the environment with their guarantees in this domain.
+    std::vector<workspace_config> workspaces;
+    /// Policy parameters.
+    policy_config policy;
+};
+
+/// A caller submitted a job. The core answers with `job_accepted` or `job_refused`.
+struct job_submitted {
+    /// What the caller asked for.
+    job_spec spec;
+};
+
+/// A caller cancelled a job. Unknown and ended jobs are ignored.
+struct job_cancelled {
+    /// The job.
+    job_id job {};
+};
+
+/// A task that a worker says it runs.
+struct reported_task {
+    /// The job.
+    job_id job {};
+    /// Attempt number of the job, from 1.
+    std::int32_t attempt = 0;
+    /// Index of the task within its gang, from 0.
+    std::int32_t rank = 0;
+
+    friend bool operator==(const reported_task&, const reported_task&) = default;
+};
+
+/// A worker announced itself for the first time, again after a loss, or under a new incarnation.
+struct worker_joined {
+    /// Name, unique in the domain; the address it announced.
+    std::string worker;
+    /// Incarnation; a higher one replaces a lower one, whose tasks are gone.
+    std::uint64_t incarnation = 0;
+    /// Rack name.
+    std::string rack;
+    /// Position of the rack; racks with consecutive positions are adjacent.
+    std::int32_t rackPosition = 0;
+    /// Whole capacity.
+    resources capacity;
+    /// Tasks that it runs; unknown ones are stopped before their capacity is used.
+    std::vector<reported_task> tasks;
+};
+
+/// A worker is leaving: it gets no new task, and what it runs goes on.
+struct worker_leaving {
+    /// The worker.
+    std::string worker;
+};
+
+/// The worker's lease has provably run out: none of its tasks runs any more.
+struct worker_lost {
+    /// The worker.
+    std::string worker;
+};
+
+/// A worker confirmed that a task runs.
+struct task_started {
+    /// The worker that reported it.
+    std::string worker;
+    /// The task.
+    reported_task task;
+};
+
+/// A task ended by itself.
+struct task_ended {
+    /// The worker that reported it.
+    std::string worker;
+    /// The task.
+    reported_task task;
+    /// Whether it ended well.
+    bool succeeded = false;
+};
+
+/// A worker confirmed that a task was stopped on command.
+struct task_stopped {
+    /// The worker that reported it.
+    std::string worker;
+    /// The task.
+    reported_task task;
+    /// Whether a checkpoint was written, so that the next attempt continues from it.
+    bool checkpointed = false;
+};
+
+/// A worker reported the use of a task, with a lag.
+struct usage_reported {
+    /// The worker that reported it.
+    std::string worker;
+    /// The task.
+    reported_task task;
+    /// Use at the time of the measurement.
+    resources use;
+    /// Log time of the measurement; older than the event.
+    log_time measuredAt;
+};
+
+/// Time has passed; sent at the latest at the time of the last `wake_at` command.
+struct timer_fired { };
+
+/// An input of the decision core.
+using event = std::variant<configuration_changed, job_submitted, job_cancelled, worker_joined, worker_leaving,
+    worker_lost, task_started, task_ended, task_stopped, usage_reported, timer_fired>;
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/job_class.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace chervilport {
+
+/// Service class of a job; it decides the order before deadlines and ages are looked at.
+enum class job_class : std::uint8_t {
+    /// Starts within 3.4 s of submission where its workspace's guarantee covers it.
+    Urgent,
+    /// Ordinary work, usually with a deadline.
+    Standard,
+    /// Work that may wait and may be preempted first.
+    Batch,
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/tests/core/error_kind_test.cpp
@@ -0,0 +1,36 @@
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/core/error_kind.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace chervilport;
+
+// Guards against a row in the wrong place, which would give a caller the answer of another error.
+Test(errorKind, everyKindHasItsOwnRow)
+{
+    std::set<std::string_view> names;
+    for (const auto& answer : allErrorAnswers()) {
+        cr_assert(answerFor(answer.kind).kind == answer.kind);
+        cr_assert(names.insert(answer.name).second);
+        cr_assert(errorKindFromName(answer.name) == answer.kind);
+    }
+    cr_assert(answerFor(error_kind::Internal).name == "internal");
+    cr_assert_not(errorKindFromName("no_such_kind").has_value());
+}
+
+// Guards against an uncertain execution being reported as not run.
+Test(errorKind, uncertainKindsNeverSayNotRun)
+{
+    for (const auto kind :
+        { error_kind::OutcomeUnknown, error_kind::UpstreamFailed, error_kind::StillRunning, error_kind::Internal })
+        cr_assert(answerFor(kind).outcome == run_outcome::Unknown);
+}
+
+// Guards against an exception losing its kind on the way to the answer.
+Test(errorKind, exceptionKeepsKind)
+{
+    const chervilport_error error(error_kind::NotFound, "job d1-7 is not known");
+    cr_assert(error.kind() == error_kind::NotFound);
+    cr_assert_str_eq(error.what(), "job d1-7 is not known");
+}
