--- /dev/null
+++ b/chervilport/logging/log.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "chervilport/logging/log_level.h"
+
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// Sets up the log of the process. Call once before other threads start.
+/// `file` is the path of the log file; the log goes to standard error when it is empty.
+void setUpLog(log_level lowest, const std::string& file);
+
+/// Writes a line. `part` is the fixed prefix of the part of the program, for example "jobs".
+void writeLog(log_level, std::string_view part, std::string_view line);
+
+/// Writes a line of level Debug.
+inline void logDebug(std::string_view part, std::string_view line) { writeLog(log_level::Debug, part, line); }
+
+/// Writes a line of level Info.
+inline void logInfo(std::string_view part, std::string_view line) { writeLog(log_level::Info, part, line); }
+
+/// Writes a line of level Warning.
+inline void logWarning(std::string_view part, std::string_view line) { writeLog(log_level::Warning, part, line); }
+
+/// Writes a line of level Error.
+inline void logError(std::string_view part, std::string_view line) { writeLog(log_level::Error, part, line); }
+
+} // namespace chervilport
