--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -42,8 +42,7 @@
     cr_assert(hasError(result, 5, "listen.http"));
     cr_assert(hasError(result, 7, "timing.lease_ms"));
     cr_assert(hasError(result, 9, "log.level"));
-    cr_assert_str_eq(
-        describe(result.errors.front()).c_str(), "a.toml:2: instance.id: must be a whole number from 1 to 1000000");
+    cr_assert(describe(result.errors.front()) == "a.toml:2: instance.id: must be a whole number from 1 to 1000000");
 }
 
 // Guards against a syntax error without a line.
