Implement elections, append, commit and membership of the replicated log

Cause: the storage, transport and instance modules are written against replica.h and need a working member behind it. Conclusion: usable for integration, not yet for trust.

--- a/chervilport/consensus/member.h
+++ b/chervilport/consensus/member.h
@@ -15,6 +15,9 @@
     std::uint64_t incarnation = 0;
     /// Whether the member syncs entries to a disk before it acknowledges them.
     bool hasDisk = false;
+    /// Set on a learner that the leader makes a voter as soon as it has caught up. Part of the membership so that a new
+    /// leader finishes what its predecessor started.
+    bool promoteWhenCaughtUp = false;
 
     friend bool operator==(const member&, const member&) = default;
 };
--- /dev/null
+++ b/chervilport/consensus/membership_codec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "chervilport/consensus/membership.h"
+
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// Encodes a membership as the payload of a `Membership` entry: counts and numbers as 8 bytes, little-endian.
+std::string encodeMembership(const membership&);
+
+/// Decodes what `encodeMembership` wrote. Throws `StorageFailure` on anything else.
+membership decodeMembership(std::string_view);
+
+} // namespace chervilport
--- a/chervilport/consensus/replica.h
+++ b/chervilport/consensus/replica.h
@@ -38,11 +38,13 @@
     Leader,
 };
 
-/// What the shell must do after a step, in the order of the members: persist and sync, then send, then apply.
+/// What the shell must do after a step, in the order of the members: persist and sync, then send, then apply. Outputs
+/// are to be carried out in the order in which they were returned.
 struct replica_output {
     /// Term and vote to persist, if changed.
     std::optional<hard_state> hardState;
-    /// Snapshot received from the leader; persist it, drop the log up to it and load it into the state machine.
+    /// Snapshot received from the leader; persist it and drop all stored entries in one durable step, then load it into
+    /// the state machine.
     std::optional<snapshot> installedSnapshot;
     /// Entries to append; an index already stored drops that entry and all after it first.
     std::vector<log_entry> appended;
@@ -87,20 +89,23 @@
 /// `output` gets what to do next.
 std::optional<std::uint64_t> propose(replica&, std::vector<std::string> payloads, log_time now, replica_output& output);
 
-/// Adds or replaces a member, or removes it, one at a time. `asVoter` false adds it as a learner; a learner becomes a
-/// voter only once it has caught up. Returns whether the change was appended; false when not leader or another one is
-/// in progress.
+/// Adds a member, replaces its incarnation, or changes its part, one change at a time. With `asVoter` a member that is
+/// not a learner yet, or has not caught up, becomes a learner first and a voter without a further call once it has
+/// caught up. Returns whether a change was appended; false when not leader, when no entry of the own term is committed
+/// yet, when another change or a transfer is in progress, when nothing would change, or when no voter would remain.
 bool changeMember(replica&, const member&, bool asVoter, log_time now, replica_output& output);
 
-/// Removes a member. Returns whether the change was appended.
+/// Removes a member, under the same conditions as `changeMember`. A leader that removes itself steps down once the
+/// removal is committed.
 bool removeMember(replica&, member_id, log_time now, replica_output& output);
 
-/// Hands leadership to the most advanced voter, for a planned stop. Returns false when there is none or this is no
-/// leader.
+/// Hands leadership to the most advanced voter, for a planned stop. From then on this member takes no proposals, and
+/// claims no lease once it has asked the successor to stand. Returns false when there is none or this is no leader.
 bool transferLeadership(replica&, log_time now, replica_output& output);
 
 /// Tells that the state machine took a snapshot after `index`, so that older entries can be dropped. Returns the
-/// snapshot to persist.
+/// snapshot to persist; the present one when it already reaches `index`. Throws `Internal` when `index` is not
+/// committed.
 snapshot compact(replica&, std::uint64_t index, std::string data);
 
 /// Returns whether this member is leader and no other one can be, by its lease and the stated clock-rate margin.
--- /dev/null
+++ b/chervilport/consensus/replication.cpp
@@ -0,0 +1,313 @@
+#include "chervilport/consensus/replication.h"
+
+#include "chervilport/consensus/election.h"
+#include "chervilport/consensus/leadership.h"
+#include "chervilport/consensus/membership_change.h"
+#include "chervilport/consensus/membership_codec.h"
+#include "chervilport/consensus/membership_rules.h"
+#include "chervilport/consensus/replica_state.h"
+#include "chervilport/core/chervilport_error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Heartbeats that a member may leave unanswered before it is only probed.
+    constexpr int silentHeartbeats = 2;
+
+    void sendAppend(const replica& state, member_id to, std::uint64_t previous, std::vector<log_entry> entries,
+        replica_output& output)
+    {
+        append_request request;
+        request.previousIndex = previous;
+        request.previousTerm = termAt(state.log, previous).value_or(0);
+        request.commitIndex = state.commitIndex;
+        request.round = state.round;
+        request.entries = std::move(entries);
+        send(state, output, to, state.hard.term, std::move(request));
+    }
+
+    void sendSnapshot(const replica& state, member_id to, peer_progress& peer, replica_output& output)
+    {
+        peer.mode = send_mode::Snapshot;
+        peer.snapshotIndex = state.log.lastSnapshot->index;
+        peer.snapshotSentAt = state.now;
+        peer.inflight.clear();
+        send(state, output, to, state.hard.term, snapshot_request { *state.log.lastSnapshot, state.round });
+    }
+
+    void probeFrom(peer_progress& peer, std::uint64_t next)
+    {
+        peer.mode = send_mode::Probe;
+        peer.next = std::max(next, peer.match + 1);
+        peer.probePending = false;
+        peer.inflight.clear();
+    }
+
+    void pipelineFrom(peer_progress& peer, std::uint64_t next)
+    {
+        peer.mode = send_mode::Pipeline;
+        peer.next = next;
+        peer.probePending = false;
+        peer.inflight.clear();
+    }
+
+    void noteAccepted(peer_progress& peer, std::uint64_t match)
+    {
+        peer.match = std::max(peer.match, match);
+        if (peer.mode == send_mode::Pipeline) {
+            peer.next = std::max(peer.next, peer.match + 1);
+            while (!peer.inflight.empty() && peer.inflight.front() <= peer.match)
+                peer.inflight.pop_front();
+        } else if (peer.mode == send_mode::Probe) {
+            pipelineFrom(peer, peer.match + 1);
+        }
+    }
+
+    void noteRejected(peer_progress& peer, std::uint64_t hint)
+    {
+        // A member does not lose what it has acknowledged, so this answer was overtaken by a later one.
+        if (hint < peer.match || peer.mode == send_mode::Snapshot)
+            return;
+        probeFrom(peer, std::min(peer.next, hint + 1));
+    }
+
+    /// Leaves `Snapshot` mode when the snapshot arrived, or when it must have been lost.
+    void reviewSnapshotMode(const replica& state, peer_progress& peer)
+    {
+        if (peer.mode != send_mode::Snapshot)
+            return;
+        if (peer.match >= peer.snapshotIndex)
+            pipelineFrom(peer, peer.match + 1);
+        else if (state.now >= peer.snapshotSentAt + state.config.electionTimeout)
+            probeFrom(peer, peer.match + 1);
+    }
+
+    void noteRound(const replica& state, peer_progress& peer, std::uint64_t round)
+    {
+        const auto found = std::find_if(state.rounds.begin(), state.rounds.end(),
+            [round](const round_start& started) { return started.round == round; });
+        if (found != state.rounds.end())
+            peer.supportedSince = std::max(peer.supportedSince.value_or(found->at), found->at);
+    }
+
+    void rollBackMemberships(replica& state, std::uint64_t first)
+    {
+        while (state.memberships.size() > 1 && state.memberships.back().index >= first)
+            state.memberships.pop_back();
+    }
+
+    void appendReceived(replica& state, const log_entry& entry, replica_output& output)
+    {
+        state.log.entries.push_back(entry);
+        output.appended.push_back(entry);
+        if (entry.kind == entry_kind::Membership)
+            state.memberships.push_back({ entry.index, decodeMembership(entry.payload) });
+    }
+
+    void storeReceived(replica& state, const std::vector<log_entry>& entries, replica_output& output)
+    {
+        for (const auto& entry : entries) {
+            const auto held = termAt(state.log, entry.index);
+            if (entry.index <= state.log.baseIndex || held == entry.term)
+                continue;
+            if (held) {
+                if (entry.index <= state.commitIndex)
+                    throw chervilport_error(error_kind::Internal, "leader contradicts a committed entry");
+                truncateFrom(state.log, entry.index);
+                rollBackMemberships(state, entry.index);
+                state.persistedIndex = std::min(state.persistedIndex, entry.index - 1);
+            }
+            appendReceived(state, entry, output);
+        }
+    }
+
+    /// Where the leader should try next after its position did not match.
+    std::uint64_t matchHint(const replica& state, std::uint64_t previous)
+    {
+        if (previous > lastIndex(state.log))
+            return lastIndex(state.log);
+        // All entries of the term that did not match are skipped at once.
+        const auto conflicting = termAt(state.log, previous);
+        auto hint = previous - 1;
+        while (hint > state.commitIndex && termAt(state.log, hint) == conflicting)
+            --hint;
+        return hint;
+    }
+
+    /// Takes note of the sender as leader of its term. Returns false when the request is to be refused.
+    bool acceptLeader(replica& state, const message& received, std::uint64_t round, replica_output& output)
+    {
+        if (received.term < state.hard.term) {
+            send(state, output, received.from, state.hard.term, append_response { false, state.commitIndex, round });
+            return false;
+        }
+        if (state.role == replica_role::Leader && received.term == state.hard.term)
+            return false;
+        becomeFollower(state, received.term, received.from);
+        state.leaderContact = state.now;
+        return true;
+    }
+
+} // namespace
+
+void appendOwn(replica& state, entry_kind kind, std::string payload, replica_output& output)
+{
+    const log_entry entry { lastIndex(state.log) + 1, state.hard.term, kind, std::move(payload) };
+    appendReceived(state, entry, output);
+    if (kind == entry_kind::Membership)
+        updatePeers(state);
+}
+
+void updatePeers(replica& state)
+{
+    const auto& members = membersOf(state);
+    std::erase_if(state.peers, [&](const auto& item) {
+        const auto* listed = findMember(members, item.first);
+        return !listed || listed->incarnation != item.second.incarnation;
+    });
+    for (const auto* group : { &members.voters, &members.learners }) {
+        for (const auto& listed : *group) {
+            if (listed.id == state.config.self.id || state.peers.contains(listed.id))
+                continue;
+            peer_progress peer;
+            peer.incarnation = listed.incarnation;
+            peer.next = lastIndex(state.log) + 1;
+            peer.lastHeard = state.now;
+            state.peers.emplace(listed.id, std::move(peer));
+        }
+    }
+}
+
+void sendEntries(replica& state, member_id to, peer_progress& peer, replica_output& output)
+{
+    if (peer.mode == send_mode::Probe && !peer.probePending) {
+        if (peer.next <= state.log.baseIndex) {
+            sendSnapshot(state, to, peer, output);
+            return;
+        }
+        peer.probePending = true;
+        sendAppend(state, to, peer.next - 1, copyEntries(state.log, peer.next, state.config.maxAppendBytes), output);
+        return;
+    }
+    while (peer.mode == send_mode::Pipeline && peer.next <= lastIndex(state.log)
+        && peer.inflight.size() < state.config.maxInflightAppends) {
+        if (peer.next <= state.log.baseIndex) {
+            sendSnapshot(state, to, peer, output);
+            return;
+        }
+        auto entries = copyEntries(state.log, peer.next, state.config.maxAppendBytes);
+        const auto previous = peer.next - 1;
+        peer.next = entries.back().index + 1;
+        peer.inflight.push_back(entries.back().index);
+        sendAppend(state, to, previous, std::move(entries), output);
+    }
+}
+
+void sendToAll(replica& state, replica_output& output)
+{
+    for (auto& [id, peer] : state.peers)
+        sendEntries(state, id, peer, output);
+}
+
+void sendHeartbeat(replica& state, member_id to, peer_progress& peer, replica_output& output)
+{
+    const bool silent = state.now > peer.lastHeard + silentHeartbeats * state.config.heartbeat;
+    if (peer.mode == send_mode::Pipeline && silent && !peer.inflight.empty()) {
+        probeFrom(peer, peer.match + 1);
+        peer.probePending = true;
+    }
+    // Position 0 matches every log; it serves where the term of the entry before is no longer known.
+    const bool known = peer.mode != send_mode::Snapshot && termAt(state.log, peer.next - 1).has_value();
+    sendAppend(state, to, known ? peer.next - 1 : 0, {}, output);
+}
+
+std::optional<member_id> mostAdvancedVoter(const replica& state)
+{
+    std::optional<member_id> best;
+    std::uint64_t bestMatch = 0;
+    for (const auto& voter : membersOf(state).voters) {
+        const auto peer = state.peers.find(voter.id);
+        if (peer == state.peers.end() || peer->second.restartedAs
+            || state.now >= peer->second.lastHeard + state.config.electionTimeout)
+            continue;
+        if (!best || peer->second.match > bestMatch) {
+            best = voter.id;
+            bestMatch = peer->second.match;
+        }
+    }
+    return best;
+}
+
+void handleAppendRequest(replica& state, const message& received, const append_request& request, replica_output& output)
+{
+    if (!acceptLeader(state, received, request.round, output))
+        return;
+    append_response response { true, state.commitIndex, request.round };
+    if (request.previousIndex > lastIndex(state.log)
+        || (request.previousIndex > state.commitIndex
+            && termAt(state.log, request.previousIndex) != request.previousTerm)) {
+        response.accepted = false;
+        response.matchIndex = matchHint(state, request.previousIndex);
+    } else {
+        storeReceived(state, request.entries, output);
+        const auto lastSent = request.previousIndex + request.entries.size();
+        state.commitIndex = std::max(state.commitIndex, std::min(request.commitIndex, lastSent));
+        response.matchIndex = std::max(lastSent, state.commitIndex);
+    }
+    send(state, output, received.from, state.hard.term, response);
+}
+
+void handleSnapshotRequest(
+    replica& state, const message& received, const snapshot_request& request, replica_output& output)
+{
+    if (!acceptLeader(state, received, request.round, output))
+        return;
+    const auto& content = request.content;
+    if (content.index > state.commitIndex) {
+        // With the last entry of the snapshot in the log, everything before it is there as well and only now known to
+        // be committed; dropping the entries after it could lose acknowledged ones.
+        if (termAt(state.log, content.index) != content.term) {
+            resetToSnapshot(state.log, content);
+            state.memberships = { { content.index, content.members } };
+            state.appliedIndex = content.index;
+            state.persistedIndex = content.index;
+            output.installedSnapshot = content;
+        }
+        state.commitIndex = content.index;
+    }
+    const append_response response { true, state.commitIndex, request.round };
+    send(state, output, received.from, state.hard.term, response);
+}
+
+void handleAppendResponse(
+    replica& state, const message& received, const append_response& response, replica_output& output)
+{
+    if (received.term > state.hard.term) {
+        becomeFollower(state, received.term, std::nullopt);
+        return;
+    }
+    const auto found = state.peers.find(received.from);
+    if (state.role != replica_role::Leader || received.term < state.hard.term || found == state.peers.end())
+        return;
+    auto& peer = found->second;
+    peer.lastHeard = state.now;
+    noteRound(state, peer, response.round);
+    if (response.accepted)
+        noteAccepted(peer, response.matchIndex);
+    else
+        noteRejected(peer, response.matchIndex);
+    reviewSnapshotMode(state, peer);
+
+    advanceCommit(state, output);
+    if (state.role != replica_role::Leader)
+        return;
+    reviewMembership(state, output);
+    continueTransfer(state, output);
+    sendToAll(state, output);
+}
+
+} // namespace chervilport
