Add listener and client for HTTP

Cause: the instance, the stand-ins and the request path need to read and send HTTP without headers of RESTinio or libcurl in their own headers.

Change: http_listener (RESTinio on a given io_context, limits, planned stop) and http_client (libcurl multi on the same io_context). libcurl sends a request again by itself when a reused connection dies before an answer; the hook that it calls before each request now refuses the second call. The same hook refuses a kept connection that has unread bytes or was closed, before anything is written, and the request goes to a new connection: otherwise the second answer of an upstream would be taken for the answer to the next request. An answer without a recognizable end counts as cut.

Conclusion: a request is written at most once, and its result says whether it may have been written.

--- /dev/null
+++ b/chervilport/http/curl_sockets.cpp
@@ -0,0 +1,103 @@
+#include "chervilport/http/curl_sockets.h"
+
+#include <cassert>
+#include <curl/curl.h>
+#include <poll.h>
+#include <utility>
+
+namespace chervilport {
+
+struct curl_sockets::entry {
+    explicit entry(asio::io_context& context)
+        : socket(context)
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    int wanted = CURL_POLL_NONE;
+    bool isWaitingToRead = false;
+    bool isWaitingToWrite = false;
+};
+
+curl_sockets::curl_sockets(asio::io_context& context, ready_callback ready)
+    : m_context(context)
+    , m_ready(std::move(ready))
+{
+}
+
+int curl_sockets::open(int family)
+{
+    auto opened = std::make_shared<entry>(m_context);
+    asio::error_code error;
+    opened->socket.open(family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
+    if (error)
+        return -1;
+    const auto handle = opened->socket.native_handle();
+    m_entries[handle] = std::move(opened);
+    return handle;
+}
+
+void curl_sockets::close(int socket)
+{
+    const auto found = m_entries.find(socket);
+    assert(found != m_entries.end());
+    const auto closed = found->second;
+    m_entries.erase(found);
+    closed->wanted = CURL_POLL_REMOVE;
+    asio::error_code ignored;
+    closed->socket.close(ignored);
+}
+
+void curl_sockets::watch(int socket, int what)
+{
+    const auto found = m_entries.find(socket);
+    // libcurl also reports sockets of its own, such as the one that wakes up a resolver; addresses need no resolver.
+    if (found == m_entries.end())
+        return;
+    const auto watched = found->second;
+    watched->wanted = what;
+    if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+        waitFor(watched, true);
+    if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+        waitFor(watched, false);
+}
+
+void curl_sockets::waitFor(const entry_ptr& watched, bool forReading)
+{
+    auto& isWaiting = forReading ? watched->isWaitingToRead : watched->isWaitingToWrite;
+    if (isWaiting)
+        return;
+    isWaiting = true;
+    const auto type = forReading ? asio::ip::tcp::socket::wait_read : asio::ip::tcp::socket::wait_write;
+    watched->socket.async_wait(type, [this, watched, forReading](const asio::error_code& error) {
+        (forReading ? watched->isWaitingToRead : watched->isWaitingToWrite) = false;
+        // A closed socket is no longer known, and its number may belong to a new one.
+        if (error == asio::error::operation_aborted || watched->wanted == CURL_POLL_REMOVE)
+            return;
+        const auto wanted = forReading ? CURL_POLL_IN : CURL_POLL_OUT;
+        if ((watched->wanted & wanted) == 0)
+            return;
+        const auto handle = watched->socket.native_handle();
+        m_ready(handle, error ? CURL_CSELECT_ERR : (forReading ? CURL_CSELECT_IN : CURL_CSELECT_OUT));
+        // libcurl reports only changes, so the wait is repeated while it still wants the same.
+        if (watched->socket.is_open() && watched->wanted != CURL_POLL_REMOVE && (watched->wanted & wanted) != 0)
+            waitFor(watched, forReading);
+    });
+}
+
+bool curl_sockets::hasUnreadInput(std::uint16_t localPort, const std::string& remoteAddress, std::uint16_t remotePort)
+{
+    asio::error_code error;
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(remoteAddress, error), remotePort);
+    for (const auto& [handle, known] : m_entries) {
+        const auto local = known->socket.local_endpoint(error);
+        if (error || local.port() != localPort || known->socket.remote_endpoint(error) != remote)
+            continue;
+        pollfd request { handle, POLLIN, 0 };
+        return poll(&request, 1, 0) != 0;
+    }
+    // A connection that cannot be found cannot be checked.
+    return true;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/http/curl_sockets.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chervilport {
+
+/// The sockets that libcurl opened, watched by Asio from their opening to their closing.
+class curl_sockets {
+public:
+    /// Receives a socket and the readiness (`CURL_CSELECT_IN`, `CURL_CSELECT_OUT`).
+    using ready_callback = std::function<void(int socket, int readiness)>;
+
+    /// Creates an empty set.
+    curl_sockets(asio::io_context&, ready_callback);
+
+    /// Opens a TCP socket; returns -1 if that fails.
+    int open(int family);
+    /// Closes a socket.
+    void close(int socket);
+    /// Sets what to wait for on a socket: `CURL_POLL_IN`, `CURL_POLL_OUT`, `CURL_POLL_INOUT` or `CURL_POLL_REMOVE`.
+    void watch(int socket, int what);
+    /// Returns whether bytes or an end wait to be read on the established connection with these endpoints. Before a
+    /// request is written, either means that the connection must not be used: bytes would be taken for its response.
+    bool hasUnreadInput(std::uint16_t localPort, const std::string& remoteAddress, std::uint16_t remotePort);
+
+private:
+    struct entry;
+    using entry_ptr = std::shared_ptr<entry>;
+
+    void waitFor(const entry_ptr&, bool forReading);
+
+    asio::io_context& m_context;
+    ready_callback m_ready;
+    std::map<int, entry_ptr> m_entries;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/http/error_response.cpp
@@ -0,0 +1,29 @@
+#include "chervilport/http/error_response.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace chervilport {
+
+http_response makeErrorResponse(error_kind kind, std::string_view message, std::chrono::milliseconds retryAfter)
+{
+    const auto& row = answerFor(kind);
+    nlohmann::ordered_json body;
+    body["error"] = row.name;
+    body["message"] = message;
+    body["outcome"] = toString(row.outcome);
+
+    http_response response;
+    response.status = row.httpStatus;
+    response.headers.push_back({ "Content-Type", "application/json" });
+    if (row.retryAfter) {
+        const auto seconds = std::max(std::chrono::ceil<std::chrono::seconds>(retryAfter), std::chrono::seconds(1));
+        response.headers.push_back({ "Retry-After", std::to_string(seconds.count()) });
+    }
+    // Invalid UTF-8 in a message must not turn an error into another one.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+} // namespace chervilport
