--- /dev/null
+++ b/chervilport/transport/detail/accepted_connection.cpp
@@ -0,0 +1,281 @@
+#include "chervilport/transport/detail/accepted_connection.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/transport/detail/kj_error.h"
+#include "chervilport/transport/detail/wire_codec.h"
+
+#include <kj/debug.h>
+
+#include <cstdlib>
+#include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string_view>
+#include <sys/socket.h>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Bound on the messages of a connection that has not identified itself.
+    constexpr std::size_t strangerLimitBytes = std::size_t { 16 } * 1024;
+
+    /// A peer that disappeared without a reset is noticed after about a minute, and its connection closed.
+    constexpr int keepAliveIdleSeconds = 30;
+    constexpr int keepAliveIntervalSeconds = 10;
+    constexpr int keepAliveProbes = 3;
+
+    void setKeepAlive(kj::AsyncIoStream& stream)
+    {
+        const auto set
+            = [&stream](int level, int option, int value) { stream.setsockopt(level, option, &value, sizeof(value)); };
+        set(SOL_SOCKET, SO_KEEPALIVE, 1);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        set(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    }
+
+    capnp::ReaderOptions optionsOf(const transport_limits& limits)
+    {
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = limits.messageBytes / sizeof(capnp::word);
+        return options;
+    }
+
+    std::unique_ptr<forward_reply> refusal(const char* reason)
+    {
+        return std::make_unique<forward_reply>(forward_refusal { reason });
+    }
+
+    /// Returns the connection of a server object. The RPC system may hold the object longer than the connection lives.
+    accepted_connection& present(const std::shared_ptr<accepted_connection*>& connection)
+    {
+        requireOnWire(*connection != nullptr, "the connection is closed");
+        return **connection;
+    }
+
+    /// The calls of an accepted instance.
+    class session_server final : public wire::Session::Server {
+    public:
+        explicit session_server(std::shared_ptr<accepted_connection*> connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
+        kj::Promise<void> deliver(DeliverContext context) override
+        {
+            present(m_connection).deliver(context.getParams().getEnvelope());
+            return kj::READY_NOW;
+        }
+
+        kj::Promise<void> forward(ForwardContext context) override
+        {
+            return present(m_connection)
+                .forward(context.getParams().getCall())
+                .then([context](std::unique_ptr<forward_reply>&& reply) mutable {
+                    writeReply(context.getResults().initReply(), *reply);
+                });
+        }
+
+        kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
+        {
+            present(m_connection).fetchConfiguration(context.getParams().getKnownVersion(), context.getResults());
+            return kj::READY_NOW;
+        }
+
+    private:
+        std::shared_ptr<accepted_connection*> m_connection;
+    };
+
+    /// The bootstrap interface.
+    class gate_server final : public wire::Gate::Server {
+    public:
+        explicit gate_server(std::shared_ptr<accepted_connection*> connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
+        kj::Promise<void> hello(HelloContext context) override
+        {
+            present(m_connection).hello(context.getParams().getRequest(), context.getResults().initReply());
+            return kj::READY_NOW;
+        }
+
+    private:
+        std::shared_ptr<accepted_connection*> m_connection;
+    };
+
+} // namespace
+
+accepted_connection::accepted_connection(peer_server& server, kj::Own<kj::AsyncIoStream> stream)
+    : m_server(server)
+    , m_context(*server.m_context)
+    , m_stream(kj::mv(stream))
+    , m_packed(*m_stream, strangerLimitBytes,
+          [this](std::uint64_t bytesIn, std::uint64_t bytesOut) { countTraffic(bytesIn, bytesOut); })
+    , m_self(std::make_shared<accepted_connection*>(this))
+    , m_closed(kj::newPromiseAndFulfiller<void>())
+    , m_network(m_packed, 0, capnp::rpc::twoparty::Side::SERVER, optionsOf(m_context.limits))
+    , m_rpc(capnp::makeRpcServer(m_network, kj::heap<gate_server>(m_self)))
+{
+    setKeepAlive(*m_stream);
+    ++m_server.m_open;
+}
+
+accepted_connection::~accepted_connection()
+{
+    *m_self = nullptr;
+    --m_server.m_open;
+    if (!m_peer)
+        return;
+    const auto found = m_server.m_sessions.find(*m_peer);
+    if (found != m_server.m_sessions.end() && found->second == this)
+        m_server.m_sessions.erase(found);
+}
+
+kj::Promise<void> accepted_connection::whenDone()
+{
+    // A connection that does not identify itself must not hold one of the bounded places.
+    auto late = m_server.m_timer.afterDelay(m_context.limits.answerTimeout.count() * kj::MILLISECONDS)
+                    .then([this]() -> kj::Promise<void> {
+                        if (m_peer)
+                            return kj::NEVER_DONE;
+                        return kj::READY_NOW;
+                    });
+    return m_network.onDisconnect().exclusiveJoin(kj::mv(m_closed.promise)).exclusiveJoin(kj::mv(late));
+}
+
+void accepted_connection::close() { m_closed.fulfiller->fulfill(); }
+
+std::optional<wire::Refusal> accepted_connection::judge(wire::Hello::Reader request) const
+{
+    const auto& own = m_context.identity;
+    if (request.getProtocolVersion() != own.protocolVersion)
+        return wire::Refusal::WRONG_PROTOCOL;
+    const auto cluster = request.getClusterId();
+    const auto secret = request.getSecret();
+    const std::string_view givenSecret(reinterpret_cast<const char*>(secret.begin()), secret.size());
+    const bool secretMatches = equalsInConstantTime(own.secret, givenSecret);
+    if (std::string_view(cluster.begin(), cluster.size()) != own.clusterId || !secretMatches)
+        return wire::Refusal::STRANGER;
+    if (request.getInstanceId() == static_cast<std::uint64_t>(own.instance))
+        return wire::Refusal::OWN_ID;
+    if (!m_context.noteIncarnation(member_id { request.getInstanceId() }, request.getIncarnation()))
+        return wire::Refusal::OLD_INCARNATION;
+    return std::nullopt;
+}
+
+void accepted_connection::hello(wire::Hello::Reader request, wire::HelloReply::Builder reply)
+{
+    requireOnWire(!m_helloSeen, "only one hello is accepted on a connection");
+    m_helloSeen = true;
+    if (const auto reason = judge(request)) {
+        reply.setRefusal(*reason);
+        m_context.counters.update([](transport_counters& counters) { ++counters.refusals; });
+        m_context.log("transport: refused " + nameOf(member_id { request.getInstanceId() }) + ", reason "
+            + std::to_string(static_cast<unsigned>(*reason)));
+        return;
+    }
+    accept(request);
+    auto accepted = reply.initAccepted();
+    accepted.setSession(kj::heap<session_server>(m_self));
+    accepted.setInstanceId(static_cast<std::uint64_t>(m_context.identity.instance));
+    accepted.setIncarnation(m_context.identity.incarnation);
+}
+
+void accepted_connection::accept(wire::Hello::Reader request)
+{
+    m_peer = member_id { request.getInstanceId() };
+    m_incarnation = request.getIncarnation();
+    m_packed.setLimit(m_context.limits.messageBytes);
+    countTraffic(std::exchange(m_earlyBytesIn, 0), std::exchange(m_earlyBytesOut, 0));
+    auto& latest = m_server.m_sessions[*m_peer];
+    if (latest != nullptr)
+        latest->close();
+    latest = this;
+}
+
+void accepted_connection::countTraffic(std::uint64_t bytesIn, std::uint64_t bytesOut)
+{
+    if (!m_peer) {
+        m_earlyBytesIn += bytesIn;
+        m_earlyBytesOut += bytesOut;
+        return;
+    }
+    m_context.counters.updatePeer(*m_peer, [=](peer_counters& counters) {
+        counters.bytesIn += bytesIn;
+        counters.bytesOut += bytesOut;
+    });
+}
+
+void accepted_connection::requireCurrent() const
+{
+    requireOnWire(m_incarnation >= m_context.incarnations[*m_peer], "a newer incarnation of this instance is known");
+}
+
+void accepted_connection::refuseMalformed(const std::string& reason)
+{
+    m_context.counters.update([](transport_counters& counters) { ++counters.malformed; });
+    m_context.log("transport: malformed call of " + nameOf(*m_peer) + ": " + reason);
+    close();
+    requireOnWire(false, "malformed call: " + reason);
+    std::abort();
+}
+
+void accepted_connection::deliver(wire::Envelope::Reader reader)
+{
+    requireCurrent();
+    envelope content;
+    try {
+        content = readEnvelope(reader);
+    } catch (const kj::Exception& error) {
+        refuseMalformed(error.getDescription().cStr());
+    } catch (const chervilport_error& error) {
+        refuseMalformed(error.what());
+    }
+    for (const auto& each : content.messages) {
+        if (each.content.from != *m_peer || each.content.to != m_context.identity.instance)
+            refuseMalformed("sender or receiver of a message is not that of the connection");
+    }
+    m_context.counters.updatePeer(*m_peer, [&content](peer_counters& counters) {
+        counters.messagesIn += content.messages.size() + content.notices.size();
+    });
+    if (m_context.callbacks.onDeliver)
+        m_context.callbacks.onDeliver(*m_peer, std::move(content));
+}
+
+kj::Promise<std::unique_ptr<forward_reply>> accepted_connection::forward(wire::Call::Reader reader)
+{
+    requireCurrent();
+    if (!m_context.callbacks.onForward)
+        return refusal("this instance takes no forwarded calls");
+    if (m_forwards >= m_context.limits.unansweredForwards)
+        return refusal("too many forwarded calls wait for an answer");
+    forward_call call;
+    try {
+        call = readCall(reader);
+    } catch (const kj::Exception& error) {
+        refuseMalformed(error.getDescription().cStr());
+    }
+    auto pending = m_server.m_replies.add();
+    ++m_forwards;
+    m_context.callbacks.onForward(*m_peer, std::move(call), std::move(pending.responder));
+    return pending.reply.attach(kj::defer([self = m_self] {
+        if (*self != nullptr)
+            --(*self)->m_forwards;
+    }));
+}
+
+void accepted_connection::fetchConfiguration(
+    std::uint64_t knownVersion, wire::Session::FetchConfigurationResults::Builder results)
+{
+    requireCurrent();
+    const std::lock_guard lock(m_context.publishedMutex);
+    const auto& published = m_context.published;
+    results.setVersion(published.version);
+    if (published.version > knownVersion)
+        results.setContent({ reinterpret_cast<const kj::byte*>(published.content.data()), published.content.size() });
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/accepted_connection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "chervilport/transport/detail/packed_stream.h"
+#include "chervilport/transport/detail/peer_server.h"
+#include "chervilport/transport/forward_call.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <peer.capnp.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace chervilport {
+
+/// A connection that another instance opened, with the state of its `hello`.
+class accepted_connection {
+public:
+    /// Starts to serve the connection.
+    accepted_connection(peer_server&, kj::Own<kj::AsyncIoStream>);
+    accepted_connection(const accepted_connection&) = delete;
+    accepted_connection& operator=(const accepted_connection&) = delete;
+    ~accepted_connection();
+
+    /// Resolves when the connection has to be destroyed.
+    kj::Promise<void> whenDone();
+
+    /// Handles `hello`.
+    void hello(wire::Hello::Reader, wire::HelloReply::Builder);
+    /// Handles `deliver`.
+    void deliver(wire::Envelope::Reader);
+    /// Handles `forward`.
+    kj::Promise<std::unique_ptr<forward_reply>> forward(wire::Call::Reader);
+    /// Handles `fetchConfiguration`.
+    void fetchConfiguration(std::uint64_t knownVersion, wire::Session::FetchConfigurationResults::Builder);
+    /// Ends the connection; takes effect after the present step of the loop.
+    void close();
+
+private:
+    std::optional<wire::Refusal> judge(wire::Hello::Reader) const;
+    void accept(wire::Hello::Reader);
+    void countTraffic(std::uint64_t bytesIn, std::uint64_t bytesOut);
+    void requireCurrent() const;
+    [[noreturn]] void refuseMalformed(const std::string& reason);
+
+    peer_server& m_server;
+    transport_context& m_context;
+    kj::Own<kj::AsyncIoStream> m_stream;
+    packed_stream m_packed;
+    std::optional<member_id> m_peer;
+    std::uint64_t m_incarnation = 0;
+    bool m_helloSeen = false;
+    std::size_t m_forwards = 0;
+    std::uint64_t m_earlyBytesIn = 0;
+    std::uint64_t m_earlyBytesOut = 0;
+    /// Refers to this object while it lives.
+    std::shared_ptr<accepted_connection*> m_self;
+    kj::PromiseFulfillerPair<void> m_closed;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/outbox.cpp
@@ -0,0 +1,125 @@
+#include "chervilport/transport/detail/outbox.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    // Fixed parts of a message and of a log entry, from the encoded sizes before packing.
+    constexpr std::size_t messageOverhead = 128;
+    constexpr std::size_t entryOverhead = 40;
+
+} // namespace
+
+std::size_t sizeOf(const scoped_message& value)
+{
+    std::size_t bytes = messageOverhead;
+    if (const auto* append = std::get_if<append_request>(&value.content.body)) {
+        for (const auto& entry : append->entries)
+            bytes += entryOverhead + entry.payload.size();
+    } else if (const auto* install = std::get_if<snapshot_request>(&value.content.body)) {
+        const auto members = install->content.members.voters.size() + install->content.members.learners.size();
+        bytes += install->content.data.size() + members * entryOverhead;
+    }
+    return bytes;
+}
+
+outbox::outbox(const transport_limits& limits)
+    : m_maxMessages(limits.queuedMessages)
+    , m_maxNotices(limits.queuedNotices)
+    , m_maxBytes(limits.queuedBytes)
+    // The rest is room for the other parts of the call.
+    , m_maxItemBytes(limits.messageBytes - limits.messageBytes / 8)
+{
+}
+
+outbox::push_result outbox::push(envelope value)
+{
+    const std::lock_guard lock(m_mutex);
+    push_result result;
+    m_configurationVersion = std::max(m_configurationVersion, value.configurationVersion);
+    m_pending = true;
+
+    // Append what the peer would accept.
+    for (auto& each : value.messages) {
+        const auto bytes = sizeOf(each);
+        if (bytes > m_maxItemBytes) {
+            ++result.dropped;
+            continue;
+        }
+        m_bytes += bytes;
+        m_messages.push_back(std::move(each));
+    }
+    for (auto& each : value.notices) {
+        if (each.size() > m_maxItemBytes) {
+            ++result.dropped;
+            continue;
+        }
+        m_bytes += each.size();
+        m_notices.push_back(std::move(each));
+    }
+
+    // Return to the bounds.
+    while (m_messages.size() > m_maxMessages || (m_bytes > m_maxBytes && m_messages.size() > 1)) {
+        dropOldestMessage();
+        ++result.dropped;
+    }
+    while (m_notices.size() > m_maxNotices || (m_bytes > m_maxBytes && m_notices.size() > 1)) {
+        dropOldestNotice();
+        ++result.dropped;
+    }
+
+    result.wake = !std::exchange(m_wakeSent, true);
+    return result;
+}
+
+bool outbox::take(std::size_t maxBytes, envelope& output)
+{
+    const std::lock_guard lock(m_mutex);
+    m_wakeSent = false;
+    if (!m_pending)
+        return false;
+    output.configurationVersion = m_configurationVersion;
+    std::size_t bytes = 0;
+    while (!m_messages.empty()) {
+        const auto size = sizeOf(m_messages.front());
+        if (bytes != 0 && bytes + size > maxBytes)
+            break;
+        bytes += size;
+        output.messages.push_back(std::move(m_messages.front()));
+        m_messages.pop_front();
+    }
+    while (!m_notices.empty()) {
+        const auto size = m_notices.front().size();
+        if (bytes != 0 && bytes + size > maxBytes)
+            break;
+        bytes += size;
+        output.notices.push_back(std::move(m_notices.front()));
+        m_notices.pop_front();
+    }
+    m_bytes -= std::min(m_bytes, bytes);
+    m_pending = !m_messages.empty() || !m_notices.empty();
+    return true;
+}
+
+std::size_t outbox::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_messages.size() + m_notices.size();
+}
+
+void outbox::dropOldestMessage()
+{
+    m_bytes -= sizeOf(m_messages.front());
+    m_messages.pop_front();
+}
+
+void outbox::dropOldestNotice()
+{
+    m_bytes -= m_notices.front().size();
+    m_notices.pop_front();
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/outbox.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "chervilport/transport/envelope.h"
+#include "chervilport/transport/transport_limits.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+
+namespace chervilport {
+
+/// Returns the approximate number of bytes that a replication message takes in memory and on the wire.
+std::size_t sizeOf(const scoped_message&);
+
+/// The bounded queue of envelopes towards one peer. Safe on any thread.
+class outbox {
+public:
+    /// Creates an empty queue with the bounds of the transport.
+    explicit outbox(const transport_limits&);
+
+    /// What `push` did.
+    struct push_result {
+        /// Messages and notices dropped for the bounds.
+        std::uint64_t dropped = 0;
+        /// Whether the reader has to be woken: nothing was pushed since its last `take`.
+        bool wake = false;
+    };
+
+    /// Adds an envelope. Beyond the bounds the oldest replication messages are dropped, then the oldest notices.
+    push_result push(envelope);
+
+    /// Takes the oldest content up to the given bytes, at least one message or notice. Returns false when there is
+    /// nothing to send.
+    bool take(std::size_t maxBytes, envelope& output);
+
+    /// Returns the number of messages and notices that wait.
+    std::size_t size() const;
+
+private:
+    void dropOldestMessage();
+    void dropOldestNotice();
+
+    const std::size_t m_maxMessages;
+    const std::size_t m_maxNotices;
+    const std::size_t m_maxBytes;
+    const std::size_t m_maxItemBytes;
+    mutable std::mutex m_mutex;
+    std::deque<scoped_message> m_messages;
+    std::deque<std::string> m_notices;
+    std::size_t m_bytes = 0;
+    std::uint64_t m_configurationVersion = 0;
+    bool m_pending = false;
+    bool m_wakeSent = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/packed_stream.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <capnp/serialize-async.h>
+#include <kj/async-io.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace chervilport {
+
+/// A message stream of packed Cap'n Proto messages: each is preceded by the number of its packed bytes as 32 bits,
+/// least significant byte first. Packing makes the calls of a heartbeat less than half as long as the plain form.
+class packed_stream final : public capnp::MessageStream {
+public:
+    /// Reports bytes read and written.
+    using traffic_callback = std::function<void(std::uint64_t bytesIn, std::uint64_t bytesOut)>;
+
+    /// Creates the stream over a connection that has to outlive it, with the bound on one unpacked message.
+    packed_stream(kj::AsyncIoStream&, std::size_t limitBytes, traffic_callback);
+
+    /// Sets the bound on the messages read from now on.
+    void setLimit(std::size_t limitBytes) { m_limitBytes = limitBytes; }
+
+    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fdSpace,
+        capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratchSpace) override;
+    kj::Promise<void> writeMessage(
+        kj::ArrayPtr<const int> fds, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
+    kj::Promise<void> writeMessages(
+        kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override;
+    kj::Maybe<int> getSendBufferSize() override;
+    kj::Promise<void> end() override;
+
+private:
+    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> readBody(std::uint32_t packedBytes, capnp::ReaderOptions);
+    kj::Promise<void> writeBytes(kj::Array<kj::byte>);
+
+    kj::AsyncIoStream& m_stream;
+    std::size_t m_limitBytes;
+    traffic_callback m_traffic;
+    kj::byte m_length[4] = {};
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/peer_link.cpp
@@ -0,0 +1,396 @@
+#include "chervilport/transport/detail/peer_link.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/transport/detail/ip_address.h"
+#include "chervilport/transport/detail/kj_error.h"
+#include "chervilport/transport/detail/packed_stream.h"
+#include "chervilport/transport/detail/wire_codec.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <peer.capnp.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Content of one `deliver` call at most, unless a single message is larger; a long queue is sent in several calls
+    /// so that heartbeats behind it are not delayed by one large message.
+    constexpr std::size_t batchBytes = std::size_t { 256 } * 1024;
+
+    kj::Duration durationOf(std::chrono::milliseconds value) { return value.count() * kj::MILLISECONDS; }
+
+    std::size_t sizeOfEnvelope(const envelope& content)
+    {
+        std::size_t bytes = 0;
+        for (const auto& each : content.messages)
+            bytes += sizeOf(each);
+        for (const auto& each : content.notices)
+            bytes += each.size();
+        return bytes;
+    }
+
+    const char* nameOf(wire::Refusal refusal)
+    {
+        switch (refusal) {
+        case wire::Refusal::WRONG_PROTOCOL:
+            return "it speaks another protocol version";
+        case wire::Refusal::STRANGER:
+            return "cluster id or secret differ";
+        case wire::Refusal::OLD_INCARNATION:
+            return "it has seen a newer incarnation of this instance";
+        case wire::Refusal::OWN_ID:
+            return "it has the same instance id";
+        }
+        return "unknown reason";
+    }
+
+} // namespace
+
+/// One established TCP connection.
+class peer_link::connection {
+public:
+    connection(peer_link& link, kj::Own<kj::AsyncIoStream> stream)
+        : m_stream(kj::mv(stream))
+        , m_packed(*m_stream, link.m_context->limits.messageBytes,
+              [&link](std::uint64_t bytesIn, std::uint64_t bytesOut) {
+                  link.m_context->counters.updatePeer(link.m_address.id, [=](peer_counters& counters) {
+                      counters.bytesIn += bytesIn;
+                      counters.bytesOut += bytesOut;
+                  });
+              })
+        , m_network(m_packed, 0, capnp::rpc::twoparty::Side::CLIENT, options(link.m_context->limits))
+        , m_rpc(capnp::makeRpcClient(m_network))
+        , m_lost(kj::newPromiseAndFulfiller<void>())
+        , m_calls(link)
+    {
+    }
+
+    /// Returns the bootstrap interface of the peer.
+    wire::Gate::Client gate()
+    {
+        capnp::MallocMessageBuilder builder(8);
+        auto id = builder.initRoot<capnp::rpc::twoparty::VatId>();
+        id.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return m_rpc.bootstrap(id).castAs<wire::Gate>();
+    }
+
+    /// Resolves or fails when the connection is no longer usable.
+    kj::Promise<void> whenLost() { return m_network.onDisconnect().exclusiveJoin(kj::mv(m_lost.promise)); }
+
+    /// Makes `whenLost` fail.
+    void lose(kj::Exception&& error) { m_lost.fulfiller->reject(kj::mv(error)); }
+
+    /// The peer's calls, once it accepted this instance.
+    kj::Maybe<wire::Session::Client> session;
+
+    /// Adds a task that ends with the connection.
+    void addCall(kj::Promise<void> call) { m_calls.add(kj::mv(call)); }
+
+private:
+    static capnp::ReaderOptions options(const transport_limits& limits)
+    {
+        capnp::ReaderOptions result;
+        result.traversalLimitInWords = limits.messageBytes / sizeof(capnp::word);
+        return result;
+    }
+
+    kj::Own<kj::AsyncIoStream> m_stream;
+    packed_stream m_packed;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+    kj::PromiseFulfillerPair<void> m_lost;
+    kj::TaskSet m_calls;
+};
+
+peer_link::peer_link(std::shared_ptr<transport_context> context, std::shared_ptr<outbox> box, kj::Network& network,
+    kj::Timer& timer, peer_address address)
+    : m_context(std::move(context))
+    , m_outbox(std::move(box))
+    , m_timer(timer)
+    , m_address(std::move(address))
+    , m_target(networkAddressOf(network, m_address.ip, m_address.port))
+    , m_pause(m_context->limits.firstBackoff)
+    , m_timeouts(*this)
+    , m_loop(connectLoop().eagerlyEvaluate([this](kj::Exception&& error) { taskFailed(kj::mv(error)); }))
+{
+}
+
+peer_link::~peer_link()
+{
+    m_loop = nullptr;
+    endConnection("the link is closed");
+    failAll(false, "the link is closed");
+}
+
+// --- connecting -----------------------------------------------------------------------------------------------------
+
+kj::Promise<void> peer_link::connectLoop()
+{
+    return attempt()
+        .then([] { return std::string("closed by the peer"); },
+            [](kj::Exception&& error) { return std::string(error.getDescription().cStr()); })
+        .then([this](const std::string& reason) {
+            endConnection(reason);
+            m_pausing = true;
+            failAll(false, "no connection to " + chervilport::nameOf(m_address.id) + ": " + reason);
+            return m_timer.afterDelay(nextPause());
+        })
+        .then([this] {
+            m_pausing = false;
+            return connectLoop();
+        });
+}
+
+kj::Promise<void> peer_link::attempt()
+{
+    const auto patience = durationOf(m_context->limits.answerTimeout);
+    return m_timer.timeoutAfter(patience, m_target->connect())
+        .then([this, patience](kj::Own<kj::AsyncIoStream> stream) {
+            m_connection = kj::heap<connection>(*this, kj::mv(stream));
+            return m_timer.timeoutAfter(patience, identify()).then([this] { return m_connection->whenLost(); });
+        });
+}
+
+kj::Promise<void> peer_link::identify()
+{
+    const auto& own = m_context->identity;
+    auto call = m_connection->gate().helloRequest();
+    auto request = call.initRequest();
+    request.setClusterId(own.clusterId.c_str());
+    request.setSecret({ reinterpret_cast<const kj::byte*>(own.secret.data()), own.secret.size() });
+    request.setInstanceId(static_cast<std::uint64_t>(own.instance));
+    request.setIncarnation(own.incarnation);
+    request.setProtocolVersion(own.protocolVersion);
+    return call.send().then([this](capnp::Response<wire::Gate::HelloResults>&& response) {
+        auto reply = response.getReply();
+        if (reply.isRefusal()) {
+            m_context->counters.updatePeer(m_address.id, [](peer_counters& counters) { ++counters.refusedByPeer; });
+            requireOnWire(false, std::string("refused: ") + nameOf(reply.getRefusal()));
+        }
+        auto accepted = reply.getAccepted();
+        requireOnWire(accepted.getInstanceId() == static_cast<std::uint64_t>(m_address.id),
+            "another instance listens at this address");
+        requireOnWire(m_context->noteIncarnation(m_address.id, accepted.getIncarnation()),
+            "an older incarnation of the peer listens at this address");
+        m_connection->session = accepted.getSession();
+        established(accepted.getIncarnation());
+    });
+}
+
+void peer_link::established(std::uint64_t incarnation)
+{
+    m_established = true;
+    m_establishedAt = clock::now();
+    m_context->counters.updatePeer(m_address.id, [](peer_counters& counters) {
+        ++counters.connects;
+        counters.connected = true;
+    });
+    m_context->log("transport: connected to " + chervilport::nameOf(m_address.id));
+    if (m_context->callbacks.onConnected)
+        m_context->callbacks.onConnected(m_address.id, incarnation);
+
+    // Send what waited for the connection.
+    std::vector<std::uint64_t> waiting;
+    for (const auto& each : m_calls)
+        waiting.push_back(each.first);
+    for (const auto id : waiting)
+        start(id);
+    flush();
+}
+
+void peer_link::endConnection(const std::string& reason)
+{
+    const bool wasEstablished = std::exchange(m_established, false);
+    if (wasEstablished)
+        failAll(true, reason);
+    m_connection = nullptr;
+    m_unanswered = 0;
+    if (!wasEstablished)
+        return;
+    m_context->counters.updatePeer(m_address.id, [](peer_counters& counters) {
+        ++counters.disconnects;
+        counters.connected = false;
+    });
+    m_context->log("transport: lost the connection to " + chervilport::nameOf(m_address.id) + ": " + reason);
+    if (m_context->callbacks.onDisconnected)
+        m_context->callbacks.onDisconnected(m_address.id);
+}
+
+kj::Duration peer_link::nextPause()
+{
+    const auto& limits = m_context->limits;
+    // A connection that is lost right after it was established does not reset the pause; otherwise two instances that
+    // disagree about a call would connect without end at the shortest pause.
+    const bool lasted
+        = m_establishedAt != clock::time_point {} && clock::now() - m_establishedAt > limits.longestBackoff;
+    if (lasted)
+        m_pause = limits.firstBackoff;
+    m_establishedAt = {};
+    const auto pause = m_pause;
+    m_pause = std::min(m_pause * 2, limits.longestBackoff);
+    return durationOf(pause);
+}
+
+void peer_link::taskFailed(kj::Exception&& error)
+{
+    if (m_connection.get() != nullptr)
+        m_connection->lose(kj::mv(error));
+}
+
+// --- envelopes ------------------------------------------------------------------------------------------------------
+
+void peer_link::flush()
+{
+    while (m_established && m_unanswered < m_context->limits.unansweredDelivers) {
+        envelope content;
+        if (!m_outbox->take(batchBytes, content))
+            return;
+        deliver(content);
+    }
+}
+
+void peer_link::deliver(const envelope& content)
+{
+    const auto& limits = m_context->limits;
+    m_context->counters.updatePeer(m_address.id, [&content](peer_counters& counters) {
+        counters.messagesOut += content.messages.size() + content.notices.size();
+        ++counters.deliverCalls;
+    });
+    KJ_IF_MAYBE (session, m_connection->session) {
+        const auto bytes = sizeOfEnvelope(content);
+        auto request = session->deliverRequest(capnp::MessageSize { bytes / sizeof(capnp::word) + 64, 0 });
+        writeEnvelope(request.initEnvelope(), content);
+        ++m_unanswered;
+        const auto patience = limits.answerTimeout
+            + std::chrono::milliseconds(bytes / std::max<std::size_t>(limits.slowestBytesPerMs, 1));
+        m_connection->addCall(m_timer.timeoutAfter(durationOf(patience), request.send().ignoreResult()).then([this] {
+            --m_unanswered;
+            flush();
+        }));
+    }
+}
+
+// --- calls ----------------------------------------------------------------------------------------------------------
+
+void peer_link::add(outstanding call, clock::time_point deadline)
+{
+    const auto id = m_nextCall++;
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
+    if (remaining.count() <= 0) {
+        call.fail(false, error_kind::DeadlineExceeded, "the deadline has passed");
+        return;
+    }
+    if (m_pausing) {
+        call.fail(false, error_kind::Unavailable, "no connection to " + chervilport::nameOf(m_address.id));
+        return;
+    }
+    m_calls.emplace(id, std::move(call));
+    m_timeouts.add(m_timer.afterDelay(durationOf(remaining)).then([this, id] {
+        failed(id, error_kind::DeadlineExceeded, "the deadline has passed");
+    }));
+    if (m_established)
+        start(id);
+}
+
+void peer_link::start(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.sent)
+        return;
+    found->second.sent = true;
+    const auto begin = found->second.start;
+    begin(id);
+}
+
+void peer_link::failed(std::uint64_t id, error_kind kind, const std::string& reason)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const auto call = std::move(found->second);
+    m_calls.erase(found);
+    call.fail(call.sent, kind, reason);
+}
+
+void peer_link::failAll(bool sent, const std::string& reason)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, call] : m_calls) {
+        if (call.sent == sent)
+            ids.push_back(id);
+    }
+    for (const auto id : ids)
+        failed(id, error_kind::Unavailable, reason);
+}
+
+bool peer_link::remove(std::uint64_t id) { return m_calls.erase(id) != 0; }
+
+void peer_link::forward(forward_call call, clock::time_point deadline, const forward_callback& callback)
+{
+    outstanding entry;
+    entry.fail = [callback](bool sent, error_kind kind, const std::string& reason) {
+        const auto outcome = sent ? run_outcome::Unknown : run_outcome::NotRun;
+        callback(forward_failure { sent ? error_kind::OutcomeUnknown : kind, outcome, reason });
+    };
+    entry.start = [this, call = std::move(call), deadline, callback](
+                      std::uint64_t id) { startForward(id, call, deadline, callback); };
+    add(std::move(entry), deadline);
+}
+
+void peer_link::startForward(
+    std::uint64_t id, const forward_call& call, clock::time_point deadline, const forward_callback& callback)
+{
+    KJ_IF_MAYBE (session, m_connection->session) {
+        auto request = session->forwardRequest();
+        auto builder = request.initCall();
+        writeCall(builder, call);
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
+        builder.setDeadlineMs(static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)));
+        m_connection->addCall(request.send().then(
+            [this, id, callback](capnp::Response<wire::Session::ForwardResults>&& response) {
+                auto reply = readReply(response.getReply());
+                if (!remove(id))
+                    return;
+                if (auto* answer = std::get_if<forward_answer>(&reply))
+                    callback(std::move(*answer));
+                else
+                    callback(forward_failure {
+                        error_kind::Overloaded, run_outcome::NotRun, std::get<forward_refusal>(reply).reason });
+            },
+            [this, id](
+                kj::Exception&& error) { failed(id, error_kind::OutcomeUnknown, error.getDescription().cStr()); }));
+    }
+}
+
+void peer_link::fetchConfiguration(std::uint64_t knownVersion, clock::time_point deadline,
+    const std::function<void(std::optional<configuration_copy>)>& callback)
+{
+    outstanding entry;
+    entry.fail = [callback](bool, error_kind, const std::string&) { callback(std::nullopt); };
+    entry.start = [this, knownVersion, callback](std::uint64_t id) { startFetch(id, knownVersion, callback); };
+    add(std::move(entry), deadline);
+}
+
+void peer_link::startFetch(std::uint64_t id, std::uint64_t knownVersion,
+    const std::function<void(std::optional<configuration_copy>)>& callback)
+{
+    KJ_IF_MAYBE (session, m_connection->session) {
+        auto request = session->fetchConfigurationRequest();
+        request.setKnownVersion(knownVersion);
+        m_connection->addCall(request.send().then(
+            [this, id, callback](capnp::Response<wire::Session::FetchConfigurationResults>&& response) {
+                if (!remove(id))
+                    return;
+                auto content = response.getContent();
+                callback(configuration_copy { response.getVersion(),
+                    std::string(reinterpret_cast<const char*>(content.begin()), content.size()) });
+            },
+            [this, id](kj::Exception&& error) { failed(id, error_kind::Unavailable, error.getDescription().cStr()); }));
+    }
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/peer_server.cpp
@@ -0,0 +1,66 @@
+#include "chervilport/transport/detail/peer_server.h"
+
+#include "chervilport/transport/detail/accepted_connection.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+namespace chervilport {
+
+peer_server::peer_server(std::shared_ptr<transport_context> context, kj::Timer& timer)
+    : m_context(std::move(context))
+    , m_timer(timer)
+    , m_replies(m_context)
+    , m_tasks(*this)
+{
+}
+
+peer_server::~peer_server() = default;
+
+void peer_server::listen(kj::Own<kj::ConnectionReceiver> receiver)
+{
+    m_receiver = kj::mv(receiver);
+    m_tasks.add(acceptLoop());
+}
+
+kj::Promise<void> peer_server::acceptLoop()
+{
+    return m_receiver->accept()
+        .then(
+            [this](kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void> {
+                accept(kj::mv(stream));
+                return kj::READY_NOW;
+            },
+            [this](kj::Exception&& error) -> kj::Promise<void> {
+                // Without a pause, a process without free descriptors would spin here.
+                m_context->log(std::string("transport: cannot accept a connection: ") + error.getDescription().cStr());
+                return m_timer.afterDelay(100 * kj::MILLISECONDS);
+            })
+        .then([this] { return acceptLoop(); });
+}
+
+void peer_server::accept(kj::Own<kj::AsyncIoStream> stream)
+{
+    const bool full = m_open >= m_context->limits.acceptedConnections;
+    m_context->counters.update([full](transport_counters& counters) {
+        if (full)
+            ++counters.refusals;
+        else
+            ++counters.accepted;
+    });
+    if (full) {
+        m_context->log("transport: refused a connection, too many are open");
+        return;
+    }
+    auto connection = kj::heap<accepted_connection>(*this, kj::mv(stream));
+    auto done = connection->whenDone();
+    m_tasks.add(done.attach(kj::mv(connection)));
+}
+
+void peer_server::taskFailed(kj::Exception&& error)
+{
+    m_context->log(std::string("transport: a connection ended: ") + error.getDescription().cStr());
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/detail/wire_codec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "chervilport/transport/configuration_copy.h"
+#include "chervilport/transport/envelope.h"
+#include "chervilport/transport/forward_call.h"
+
+#include <peer.capnp.h>
+
+namespace chervilport {
+
+/// Writes an envelope into a message under construction.
+void writeEnvelope(wire::Envelope::Builder, const envelope&);
+
+/// Reads an envelope. Throws chervilport_error `InvalidRequest` for a content that is none, kj::Exception for broken
+/// pointers.
+envelope readEnvelope(wire::Envelope::Reader);
+
+/// Writes a forwarded call.
+void writeCall(wire::Call::Builder, const forward_call&);
+
+/// Reads a forwarded call. Throws as `readEnvelope`.
+forward_call readCall(wire::Call::Reader);
+
+/// Writes a reply to a forwarded call.
+void writeReply(wire::CallReply::Builder, const forward_reply&);
+
+/// Reads a reply to a forwarded call. Throws as `readEnvelope`.
+forward_reply readReply(wire::CallReply::Reader);
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/transport/peer_transport.cpp
@@ -0,0 +1,259 @@
+#include "chervilport/transport/peer_transport.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/transport/detail/ip_address.h"
+#include "chervilport/transport/detail/outbox.h"
+#include "chervilport/transport/detail/peer_link.h"
+#include "chervilport/transport/detail/peer_server.h"
+#include "chervilport/transport/detail/transport_context.h"
+
+#include <kj/async-io.h>
+#include <kj/exception.h>
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace chervilport {
+
+/// The thread of the event loop and what is shared with it.
+class peer_transport::impl {
+public:
+    impl(transport_identity identity, transport_callbacks callbacks, transport_limits limits)
+        : context(new transport_context { std::move(identity), std::move(callbacks), limits })
+    {
+    }
+
+    /// A peer as seen by callers.
+    struct peer {
+        peer_address address;
+        std::shared_ptr<outbox> queue;
+        /// Calls without an answer; also counts those that still wait in the mailbox.
+        std::shared_ptr<std::atomic<std::size_t>> calls;
+    };
+
+    /// What lives on the loop thread.
+    struct loop_state {
+        peer_server server;
+        std::map<member_id, std::unique_ptr<peer_link>> links;
+        kj::Network& network;
+        kj::Timer& timer;
+        kj::Own<kj::PromiseFulfiller<void>> quit;
+    };
+
+    void run(const std::string& ip, std::uint16_t wantedPort, std::promise<std::uint16_t>& started);
+    void applyPeers(const std::vector<peer>&);
+    std::optional<peer> find(member_id) const;
+    peer_link* linkOf(member_id) const;
+    void setPeers(std::vector<peer_address>);
+
+    std::shared_ptr<transport_context> context;
+    std::thread thread;
+    std::atomic<std::uint16_t> port = 0;
+    /// Guards `peers`; held while a change is posted, so that changes reach the loop in the same order.
+    mutable std::mutex mutex;
+    std::map<member_id, peer> peers;
+    /// Only on the loop thread.
+    loop_state* loop = nullptr;
+};
+
+void peer_transport::impl::run(const std::string& ip, std::uint16_t wantedPort, std::promise<std::uint16_t>& started)
+{
+    auto io = kj::setupAsyncIo();
+    auto quit = kj::newPromiseAndFulfiller<void>();
+    auto tasks = context->tasks.run(*io.lowLevelProvider).eagerlyEvaluate(nullptr);
+    auto& timer = io.provider->getTimer();
+    auto& network = io.provider->getNetwork();
+    loop_state state { { context, timer }, {}, network, timer, kj::mv(quit.fulfiller) };
+    loop = &state;
+
+    // Listen, and report the port or the failure to the thread that waits in `start`.
+    try {
+        auto receiver = networkAddressOf(network, ip, wantedPort)->listen();
+        const auto boundPort = static_cast<std::uint16_t>(receiver->getPort());
+        state.server.listen(kj::mv(receiver));
+        started.set_value(boundPort);
+    } catch (const kj::Exception& error) {
+        context->tasks.close();
+        started.set_exception(std::make_exception_ptr(chervilport_error(error_kind::Unavailable,
+            "cannot listen on " + ip + " port " + std::to_string(wantedPort) + ": " + error.getDescription().cStr())));
+        return;
+    }
+
+    quit.promise.wait(io.waitScope);
+    // Links answer their outstanding calls as they are destroyed; a task that is left then finds no link.
+    state.links.clear();
+    context->tasks.close();
+    loop = nullptr;
+}
+
+void peer_transport::impl::applyPeers(const std::vector<peer>& wanted)
+{
+    std::map<member_id, std::unique_ptr<peer_link>> kept;
+    for (const auto& each : wanted) {
+        auto found = loop->links.find(each.address.id);
+        if (found != loop->links.end() && found->second->address() == each.address)
+            kept.emplace(each.address.id, std::move(found->second));
+    }
+    loop->links.swap(kept);
+    // The links that are no longer wanted go before new ones to the same peers start.
+    kept.clear();
+    for (const auto& each : wanted) {
+        auto& link = loop->links[each.address.id];
+        if (!link)
+            link = std::make_unique<peer_link>(context, each.queue, loop->network, loop->timer, each.address);
+    }
+}
+
+std::optional<peer_transport::impl::peer> peer_transport::impl::find(member_id id) const
+{
+    const std::lock_guard lock(mutex);
+    const auto found = peers.find(id);
+    if (found == peers.end())
+        return std::nullopt;
+    return found->second;
+}
+
+peer_link* peer_transport::impl::linkOf(member_id id) const
+{
+    const auto found = loop->links.find(id);
+    return found == loop->links.end() ? nullptr : found->second.get();
+}
+
+void peer_transport::impl::setPeers(std::vector<peer_address> addresses)
+{
+    for (const auto& each : addresses)
+        requireIpNumber(each.ip);
+    const std::lock_guard lock(mutex);
+    std::map<member_id, peer> changed;
+    std::vector<peer> list;
+    for (auto& each : addresses) {
+        const auto id = each.id;
+        const auto found = peers.find(id);
+        auto entry = found != peers.end()
+            ? found->second
+            : peer { {}, std::make_shared<outbox>(context->limits), std::make_shared<std::atomic<std::size_t>>(0) };
+        entry.address = std::move(each);
+        if (changed.emplace(id, entry).second)
+            list.push_back(std::move(entry));
+    }
+    peers = std::move(changed);
+    context->tasks.post([this, list = std::move(list)] { applyPeers(list); });
+}
+
+peer_transport::peer_transport(transport_identity identity, transport_callbacks callbacks, transport_limits limits)
+    : m_impl(std::make_unique<impl>(std::move(identity), std::move(callbacks), limits))
+{
+}
+
+peer_transport::~peer_transport() { stop(); }
+
+void peer_transport::start(std::string_view ip, std::uint16_t port, std::vector<peer_address> peers)
+{
+    requireIpNumber(ip);
+    m_impl->setPeers(std::move(peers));
+    std::promise<std::uint16_t> started;
+    auto result = started.get_future();
+    m_impl->thread = std::thread([this, &started, ip = std::string(ip), port] { m_impl->run(ip, port, started); });
+    try {
+        m_impl->port = result.get();
+    } catch (...) {
+        m_impl->thread.join();
+        throw;
+    }
+}
+
+std::uint16_t peer_transport::port() const { return m_impl->port; }
+
+void peer_transport::setPeers(std::vector<peer_address> peers) { m_impl->setPeers(std::move(peers)); }
+
+void peer_transport::send(member_id id, envelope content)
+{
+    const auto peer = m_impl->find(id);
+    if (!peer)
+        return;
+    const auto result = peer->queue->push(std::move(content));
+    if (result.dropped != 0)
+        m_impl->context->counters.updatePeer(
+            id, [&result](peer_counters& counters) { counters.dropped += result.dropped; });
+    if (!result.wake)
+        return;
+    m_impl->context->tasks.post([impl = m_impl.get(), id] {
+        if (auto* link = impl->linkOf(id))
+            link->flush();
+    });
+}
+
+void peer_transport::forward(member_id id, forward_call call, forward_callback callback)
+{
+    const auto deadline = peer_link::clock::now() + call.remaining;
+    const auto peer = m_impl->find(id);
+    if (!peer) {
+        callback(forward_failure { error_kind::Unavailable, run_outcome::NotRun, "unknown instance" });
+        return;
+    }
+
+    // Bound the calls, including those that the loop has not seen yet.
+    if (peer->calls->fetch_add(1) >= m_impl->context->limits.unansweredForwards) {
+        peer->calls->fetch_sub(1);
+        callback(forward_failure {
+            error_kind::Overloaded, run_outcome::NotRun, "too many forwarded calls wait for an answer" });
+        return;
+    }
+    const auto finish = [calls = peer->calls, callback = std::move(callback)](forward_result result) {
+        calls->fetch_sub(1);
+        callback(std::move(result));
+    };
+    const auto task = [impl = m_impl.get(), id, call = std::move(call), deadline, finish] {
+        if (auto* link = impl->linkOf(id))
+            link->forward(call, deadline, finish);
+        else
+            finish(forward_failure { error_kind::Unavailable, run_outcome::NotRun, "unknown instance" });
+    };
+    if (!m_impl->context->tasks.post(task))
+        finish(forward_failure { error_kind::Unavailable, run_outcome::NotRun, "the transport is stopped" });
+}
+
+void peer_transport::fetchConfiguration(
+    member_id id, std::uint64_t knownVersion, std::chrono::milliseconds timeout, configuration_callback callback)
+{
+    const auto deadline = peer_link::clock::now() + timeout;
+    const auto shared = std::make_shared<configuration_callback>(std::move(callback));
+    const auto task = [impl = m_impl.get(), id, knownVersion, deadline, shared] {
+        if (auto* link = impl->linkOf(id))
+            link->fetchConfiguration(knownVersion, deadline, *shared);
+        else
+            (*shared)(std::nullopt);
+    };
+    if (!m_impl->context->tasks.post(task))
+        (*shared)(std::nullopt);
+}
+
+void peer_transport::publishConfiguration(configuration_copy copy)
+{
+    const std::lock_guard lock(m_impl->context->publishedMutex);
+    m_impl->context->published = std::move(copy);
+}
+
+transport_counters peer_transport::counters() const
+{
+    auto result = m_impl->context->counters.copy();
+    const std::lock_guard lock(m_impl->mutex);
+    for (const auto& [id, peer] : m_impl->peers)
+        result.peers[id].queued = peer.queue->size();
+    return result;
+}
+
+void peer_transport::stop()
+{
+    if (!m_impl->thread.joinable())
+        return;
+    m_impl->context->tasks.post([impl = m_impl.get()] { impl->loop->quit->fulfill(); });
+    m_impl->thread.join();
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/tests/transport/deliver_test.cpp
@@ -0,0 +1,197 @@
+#include "tests/transport/tcp_relay.h"
+#include "tests/transport/transport_node.h"
+
+#include "chervilport/transport/detail/outbox.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace chervilport;
+
+namespace {
+
+std::uint64_t roundOf(const scoped_message& value) { return std::get<append_request>(value.content.body).round; }
+
+} // namespace
+
+// Guards against reordered or repeated envelopes on one connection.
+Test(deliver, order_is_kept_and_nothing_repeats)
+{
+    transport_node receiver(1);
+    receiver.start();
+    transport_node sender(2);
+    sender.start({ receiver.address(1) });
+    sender.waitConnected(1);
+    constexpr std::uint64_t count = 400;
+    for (std::uint64_t round = 1; round <= count; ++round)
+        sender.transport.send(member_id { 1 }, heartbeat(2, 1, round));
+    std::vector<std::uint64_t> rounds;
+    receiver.wait([&] {
+        rounds.clear();
+        for (const auto& [peer, content] : receiver.envelopes)
+            for (const auto& each : content.messages)
+                rounds.push_back(roundOf(each));
+        return rounds.size() >= count;
+    });
+    for (std::uint64_t i = 0; i < count; ++i)
+        cr_assert_eq(rounds[i], i + 1);
+    cr_assert_eq(rounds.size(), count);
+    cr_assert_eq(receiver.envelopes[0].first, member_id { 2 });
+    cr_assert_eq(receiver.envelopes[0].second.configurationVersion, 12);
+}
+
+// Guards against an instance that speaks in the name of another one.
+Test(deliver, message_in_another_name_is_refused)
+{
+    transport_node receiver(1);
+    receiver.start();
+    transport_node sender(2);
+    sender.start({ receiver.address(1) });
+    sender.transport.send(member_id { 1 }, heartbeat(3, 1, 1));
+    receiver.waitCounters([](const transport_counters& counters) { return counters.malformed == 1; });
+    receiver.transport.stop();
+    cr_assert(receiver.envelopes.empty());
+}
+
+// Guards against a peer that cannot be reached again after its restart.
+Test(deliver, restarted_peer_is_found_again)
+{
+    auto receiver = std::make_unique<transport_node>(1);
+    receiver->start();
+    const auto port = receiver->transport.port();
+    transport_node sender(2);
+    sender.start({ receiver->address(1) });
+    sender.waitConnected(1);
+    receiver.reset();
+    sender.waitCounters(
+        [](const transport_counters& counters) { return !counters.peers.at(member_id { 1 }).connected; });
+    transport_node restarted(1, 2);
+    restarted.transport.start("127.0.0.1", port, {});
+    sender.waitConnected(1, 2);
+    sender.transport.send(member_id { 1 }, heartbeat(2, 1, 9));
+    restarted.wait([&] { return !restarted.envelopes.empty(); });
+    cr_assert_eq(roundOf(restarted.envelopes[0].second.messages[0]), 9);
+}
+
+// Guards against a queue that grows while a peer is unreachable.
+Test(deliver, queue_towards_an_unreachable_peer_is_bounded)
+{
+    transport_node dead(1);
+    dead.start();
+    const auto address = dead.address(1);
+    dead.transport.stop();
+    transport_node sender(2);
+    sender.start({ address });
+    for (std::uint64_t round = 1; round <= 2000; ++round)
+        sender.transport.send(member_id { 1 }, heartbeat(2, 1, round));
+    const auto counters = sender.transport.counters().peers.at(member_id { 1 });
+    cr_assert_eq(counters.queued, transport_limits {}.queuedMessages);
+    cr_assert_eq(counters.dropped, 2000 - transport_limits {}.queuedMessages);
+    cr_assert_eq(counters.deliverCalls, 0);
+}
+
+// Guards against a silent partition that is never noticed, and against calls that pile up meanwhile.
+Test(deliver, silent_peer_is_noticed_and_calls_to_it_are_bounded)
+{
+    transport_limits limits;
+    limits.answerTimeout = std::chrono::milliseconds(200);
+    limits.queuedMessages = 16;
+    transport_node receiver(1);
+    receiver.start();
+    tcp_relay relay(receiver.transport.port());
+    transport_node sender(2, 1, limits);
+    sender.start({ { member_id { 1 }, "127.0.0.1", relay.port() } });
+    sender.waitConnected(1);
+    relay.setSilent(true);
+    const auto stateOf = [&] { return sender.transport.counters().peers.at(member_id { 1 }); };
+    std::uint64_t round = 0;
+    while (stateOf().disconnects == 0) {
+        sender.transport.send(member_id { 1 }, heartbeat(2, 1, ++round));
+        std::this_thread::yield();
+    }
+    cr_assert_leq(stateOf().deliverCalls, limits.unansweredDelivers);
+    cr_assert_leq(stateOf().queued, limits.queuedMessages);
+
+    // The newest heartbeat arrives once the network is back.
+    sender.transport.send(member_id { 1 }, heartbeat(2, 1, ++round));
+    relay.setSilent(false);
+    receiver.wait([&] {
+        return !receiver.envelopes.empty() && roundOf(receiver.envelopes.back().second.messages.back()) == round;
+    });
+}
+
+// Guards against the loss of the newest messages instead of the oldest, and of notices before messages.
+Test(outbox, oldest_messages_are_dropped_first)
+{
+    transport_limits limits;
+    limits.queuedMessages = 3;
+    limits.queuedNotices = 2;
+    outbox box(limits);
+    std::uint64_t dropped = 0;
+    for (std::uint64_t round = 1; round <= 5; ++round)
+        dropped += box.push(heartbeat(2, 1, round)).dropped;
+    for (const auto* notice : { "a", "b", "c" })
+        dropped += box.push({ 13, {}, { notice } }).dropped;
+    cr_assert_eq(dropped, 3);
+    envelope content;
+    cr_assert(box.take(1 << 20, content));
+    cr_assert_eq(content.configurationVersion, 13);
+    cr_assert_eq(content.messages.size(), 3);
+    cr_assert_eq(roundOf(content.messages.front()), 3);
+    cr_assert_eq(roundOf(content.messages.back()), 5);
+    cr_assert(content.notices == std::vector<std::string>({ "b", "c" }));
+    cr_assert(!box.take(1 << 20, content));
+}
+
+// Guards against a large snapshot that can never be sent, and against one call that holds a whole long queue.
+Test(outbox, bytes_are_bounded_but_one_large_message_passes)
+{
+    transport_limits limits;
+    limits.queuedBytes = 10000;
+    limits.messageBytes = 100000;
+    outbox box(limits);
+    const auto withSnapshot = [](std::size_t size) {
+        const snapshot_request body { { 1, 1, {}, std::string(size, 'x') }, 1 };
+        return envelope { 1, { { replication_scope::Fleet, { member_id { 1 }, 1, member_id { 2 }, 1, body } } }, {} };
+    };
+    cr_assert_eq(box.push(withSnapshot(9000)).dropped, 0);
+    cr_assert_eq(box.push(withSnapshot(50000)).dropped, 1);
+    cr_assert_eq(box.push(withSnapshot(200000)).dropped, 1);
+    cr_assert_eq(box.push(heartbeat(1, 2, 1)).dropped, 1);
+    cr_assert_eq(box.push(heartbeat(1, 2, 2)).dropped, 0);
+    envelope first;
+    cr_assert(box.take(1, first));
+    cr_assert_eq(first.messages.size(), 1);
+    cr_assert_eq(roundOf(first.messages[0]), 1);
+}
+
+// Guards against a heartbeat that grows beyond the byte budget of a node: 7 KB a second for two peers at one
+// heartbeat and one answer every 300 ms are 1,050 bytes for each pair of them.
+Test(deliver, heartbeat_and_answer_fit_the_byte_budget)
+{
+    transport_node follower(1);
+    follower.start();
+    transport_node leader(2);
+    leader.start({ follower.address(1) });
+    leader.waitConnected(1);
+    follower.transport.setPeers({ leader.address(2) });
+    follower.waitConnected(2);
+    const auto bytesOf = [](const transport_node& node, std::uint64_t id) {
+        const auto counters = node.transport.counters().peers.at(member_id { id });
+        return counters.bytesIn + counters.bytesOut;
+    };
+    const auto before = bytesOf(leader, 1);
+    constexpr std::uint64_t count = 50;
+    for (std::uint64_t round = 1; round <= count; ++round) {
+        leader.transport.send(member_id { 1 }, heartbeat(2, 1, 1000000 + round));
+        follower.wait([&] { return follower.envelopes.size() == round; });
+        const message answer { member_id { 1 }, 1, member_id { 2 }, 7,
+            append_response { true, 4711, 1000000 + round } };
+        follower.transport.send(member_id { 2 }, { 12, { { replication_scope::Domain, answer } }, {} });
+        leader.wait([&] { return leader.envelopes.size() == round; });
+    }
+    const auto perPair = (bytesOf(leader, 1) - before) / count;
+    cr_log_info("bytes of a heartbeat and its answer: %lu", static_cast<unsigned long>(perPair));
+    cr_assert_leq(perPair, 400);
+}
--- /dev/null
+++ b/tests/transport/forward_test.cpp
@@ -0,0 +1,186 @@
+#include "tests/transport/tcp_relay.h"
+#include "tests/transport/transport_node.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace chervilport;
+
+namespace {
+
+constexpr std::chrono::milliseconds longTime { 600000 };
+
+const forward_failure& failureOf(const transport_node& node, std::size_t index)
+{
+    return std::get<forward_failure>(node.results[index]);
+}
+
+/// A caller and the instance that answers it, with a relay between them.
+struct forward_pair {
+    transport_node server { 1 };
+    transport_node caller { 2 };
+    std::unique_ptr<tcp_relay> relay;
+
+    forward_pair()
+    {
+        server.start();
+        relay = std::make_unique<tcp_relay>(server.transport.port());
+        caller.start({ { member_id { 1 }, "127.0.0.1", relay->port() } });
+        caller.waitConnected(1);
+    }
+
+    void waitCalls(std::size_t count)
+    {
+        server.wait([&] { return server.calls.size() == count; });
+    }
+
+    void waitResults(std::size_t count)
+    {
+        caller.wait([&] { return caller.results.size() >= count; });
+    }
+};
+
+} // namespace
+
+// Guards against crossed answers: each call gets its own one, in whatever order they are given.
+Test(forward, answers_reach_their_own_calls)
+{
+    forward_pair pair;
+    pair.caller.forward(1, "/a", longTime);
+    pair.waitCalls(1);
+    pair.caller.forward(1, "/b", longTime);
+    pair.waitCalls(2);
+    cr_assert_eq(pair.server.calls[0].path, "/a");
+    cr_assert_eq(pair.server.calls[0].method, "POST");
+    cr_assert_eq(pair.server.calls[0].body, "body");
+    cr_assert_eq(pair.server.calls[0].headers[0].value, "value");
+    cr_assert_leq(pair.server.calls[0].remaining.count(), longTime.count());
+    cr_assert_gt(pair.server.calls[0].remaining.count(), 0);
+    const auto answer = [](const char* body) { return forward_answer { 201, { { "Location", "x" } }, body }; };
+    pair.server.responders[1](answer("of b"));
+    pair.waitResults(1);
+    pair.server.responders[0](answer("of a"));
+    pair.waitResults(2);
+    cr_assert(std::get<forward_answer>(pair.caller.results[0]) == answer("of b"));
+    cr_assert(std::get<forward_answer>(pair.caller.results[1]) == answer("of a"));
+}
+
+// Guards against a caller that is told "not run", or nothing, when the peer dies after it took up the call.
+Test(forward, peer_killed_during_a_call_is_unknown_once)
+{
+    forward_pair pair;
+    pair.caller.forward(1, "/a", longTime);
+    pair.waitCalls(1);
+    pair.relay->cut();
+    pair.waitResults(1);
+    cr_assert(failureOf(pair.caller, 0).outcome == run_outcome::Unknown);
+    cr_assert(failureOf(pair.caller, 0).kind == error_kind::OutcomeUnknown);
+    pair.server.responders[0](forward_answer { 200, {}, "late" });
+    pair.caller.waitConnected(1, 2);
+    pair.caller.forward(1, "/b", longTime);
+    pair.waitCalls(2);
+    pair.server.responders[1](forward_answer { 200, {}, "of b" });
+    pair.waitResults(2);
+    pair.caller.transport.stop();
+    cr_assert_eq(pair.caller.results.size(), 2);
+    cr_assert_eq(std::get<forward_answer>(pair.caller.results[1]).body, "of b");
+}
+
+// Guards against a call that stays without an answer, and against a second answer after the deadline.
+Test(forward, deadline_during_a_call_is_unknown_once)
+{
+    forward_pair pair;
+    pair.caller.forward(1, "/a", std::chrono::milliseconds(500));
+    pair.waitCalls(1);
+    pair.waitResults(1);
+    cr_assert(failureOf(pair.caller, 0).outcome == run_outcome::Unknown);
+    pair.server.responders[0](forward_answer { 200, {}, "late" });
+    pair.caller.forward(1, "/b", longTime);
+    pair.waitCalls(2);
+    pair.server.responders[1](forward_answer { 200, {}, "of b" });
+    pair.waitResults(2);
+    pair.caller.transport.stop();
+    cr_assert_eq(pair.caller.results.size(), 2);
+}
+
+// Guards against "unknown" where the peer refused, and against a caller that waits for a responder that was dropped.
+Test(forward, refusal_is_not_run_and_dropped_responder_is_unknown)
+{
+    forward_pair pair;
+    pair.caller.forward(1, "/a", longTime);
+    pair.waitCalls(1);
+    pair.server.responders[0](forward_refusal { "leaving" });
+    pair.waitResults(1);
+    cr_assert(failureOf(pair.caller, 0).outcome == run_outcome::NotRun);
+    cr_assert_eq(failureOf(pair.caller, 0).reason, "leaving");
+    pair.caller.forward(1, "/b", longTime);
+    pair.waitCalls(2);
+    {
+        const std::lock_guard lock(pair.server.mutex);
+        pair.server.responders.clear();
+    }
+    pair.waitResults(2);
+    cr_assert(failureOf(pair.caller, 1).outcome == run_outcome::Unknown);
+}
+
+// Guards against "unknown" for calls that were never sent: peer unknown, deadline passed, peer down, stopped.
+Test(forward, unsent_calls_are_not_run)
+{
+    transport_node dead(1);
+    dead.start();
+    const auto address = dead.address(1);
+    dead.transport.stop();
+    transport_node caller(2);
+    caller.start({ address });
+    caller.forward(3, "/unknown", longTime);
+    caller.forward(1, "/late", std::chrono::milliseconds(0));
+    caller.forward(1, "/down", longTime);
+    caller.wait([&] { return caller.results.size() == 3; });
+    caller.transport.stop();
+    caller.forward(1, "/stopped", longTime);
+    cr_assert_eq(caller.results.size(), 4);
+    for (std::size_t i = 0; i < 4; ++i)
+        cr_assert(failureOf(caller, i).outcome == run_outcome::NotRun);
+}
+
+// Guards against calls that pile up towards a peer that does not answer.
+Test(forward, calls_without_an_answer_are_bounded_and_end_with_stop)
+{
+    forward_pair pair;
+    const auto bound = transport_limits {}.unansweredForwards;
+    for (std::size_t i = 0; i < bound; ++i)
+        pair.caller.forward(1, "/a", longTime);
+    pair.caller.forward(1, "/b", longTime);
+    pair.waitResults(1);
+    cr_assert(failureOf(pair.caller, 0).kind == error_kind::Overloaded);
+    cr_assert(failureOf(pair.caller, 0).outcome == run_outcome::NotRun);
+    pair.waitCalls(bound);
+    pair.caller.transport.stop();
+    cr_assert_eq(pair.caller.results.size(), bound + 1);
+    cr_assert(failureOf(pair.caller, bound).outcome == run_outcome::Unknown);
+}
+
+// Guards against a configuration that goes back, and against sending it to an instance that has it.
+Test(configuration, only_a_newer_one_is_sent)
+{
+    forward_pair pair;
+    pair.server.transport.publishConfiguration({ 7, "document" });
+    std::vector<std::optional<configuration_copy>> copies;
+    const auto fetch = [&](std::uint64_t peer, std::uint64_t known) {
+        const auto count = copies.size();
+        pair.caller.transport.fetchConfiguration(
+            member_id { peer }, known, longTime, [&](std::optional<configuration_copy> copy) {
+                const std::lock_guard lock(pair.caller.mutex);
+                copies.push_back(std::move(copy));
+                pair.caller.changed.notify_all();
+            });
+        pair.caller.wait([&] { return copies.size() > count; });
+    };
+    fetch(1, 6);
+    fetch(1, 7);
+    fetch(9, 0);
+    cr_assert((copies[0] == configuration_copy { 7, "document" }));
+    cr_assert((copies[1] == configuration_copy { 7, "" }));
+    cr_assert(!copies[2].has_value());
+}
--- /dev/null
+++ b/tests/transport/hello_test.cpp
@@ -0,0 +1,116 @@
+#include "tests/transport/tcp_relay.h"
+#include "tests/transport/transport_node.h"
+
+#include "chervilport/core/chervilport_error.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+
+namespace {
+
+/// Has a stranger connect to a node and send, and expects that nothing of it is taken up.
+void expectRefused(transport_node& stranger)
+{
+    transport_node server(1);
+    server.start();
+    stranger.start({ server.address(1) });
+    stranger.transport.send(member_id { 1 }, heartbeat(2, 1, 1));
+    stranger.forward(1, "/v1/jobs", std::chrono::milliseconds(60000));
+    stranger.wait([&] { return !stranger.results.empty(); });
+    stranger.waitCounters(
+        [](const transport_counters& counters) { return counters.peers.at(member_id { 1 }).refusedByPeer >= 2; });
+    const auto counters = server.transport.counters();
+    cr_assert_geq(counters.refusals, 2);
+    server.transport.stop();
+    cr_assert(server.envelopes.empty());
+    cr_assert(server.calls.empty());
+    cr_assert(std::get<forward_failure>(stranger.results[0]).outcome == run_outcome::NotRun);
+    cr_assert_eq(stranger.transport.counters().peers.at(member_id { 1 }).connects, 0);
+}
+
+} // namespace
+
+// Guards against an instance of another cluster, or an intruder, taking part in replication.
+Test(hello, wrong_secret_is_refused)
+{
+    transport_node stranger(2, 1, {}, "Secret");
+    expectRefused(stranger);
+}
+
+Test(hello, empty_secret_is_refused)
+{
+    transport_node stranger(2, 1, {}, "");
+    expectRefused(stranger);
+}
+
+Test(hello, wrong_cluster_is_refused)
+{
+    transport_node stranger(2, 1, {}, "secret", "other");
+    expectRefused(stranger);
+}
+
+// Guards against two versions that read the same bytes differently.
+Test(hello, other_protocol_version_is_refused)
+{
+    transport_node stranger(2, 1, {}, "secret", "cluster", 2);
+    expectRefused(stranger);
+}
+
+// Guards against two instances that were given the same id and would vote twice.
+Test(hello, own_id_is_refused)
+{
+    transport_node twin(1);
+    expectRefused(twin);
+}
+
+// Guards against a forgotten process of an earlier incarnation that still acknowledges entries.
+Test(hello, older_incarnation_is_refused_and_its_connection_ended)
+{
+    transport_node server(1);
+    server.start();
+    transport_node older(2, 5);
+    older.start({ server.address(1) });
+    older.waitConnected(1);
+    older.transport.send(member_id { 1 }, heartbeat(2, 1, 1));
+    server.wait([&] { return server.envelopes.size() == 1; });
+
+    transport_node newer(2, 6);
+    newer.start({ server.address(1) });
+    newer.waitConnected(1);
+    older.waitCounters(
+        [](const transport_counters& counters) { return counters.peers.at(member_id { 1 }).refusedByPeer > 0; });
+    newer.transport.send(member_id { 1 }, heartbeat(2, 1, 2));
+    server.wait([&] { return server.envelopes.size() == 2; });
+    cr_assert_eq(older.transport.counters().peers.at(member_id { 1 }).connects, 1);
+}
+
+// Guards against sending to whoever got the address of a peer that was replaced.
+Test(hello, another_instance_at_the_address_gets_nothing)
+{
+    transport_node server(3);
+    server.start();
+    transport_node node(1);
+    node.start({ server.address(2) });
+    node.transport.send(member_id { 2 }, heartbeat(1, 2, 1));
+    server.waitCounters([](const transport_counters& counters) { return counters.accepted >= 2; });
+    server.transport.stop();
+    cr_assert(server.envelopes.empty());
+}
+
+// Guards against name lookups, which block and depend on a service that may be down.
+Test(hello, names_are_refused)
+{
+    transport_node node(1);
+    cr_assert_throw(node.transport.start("localhost", 0, {}), chervilport_error);
+    cr_assert_throw(node.transport.setPeers({ { member_id { 2 }, "example.org", 1 } }), chervilport_error);
+}
+
+// Guards against a start that reports success on a port that belongs to another process.
+Test(hello, taken_port_is_reported)
+{
+    transport_node first(1);
+    first.start();
+    transport_node second(2);
+    cr_assert_throw(second.transport.start("127.0.0.1", first.transport.port(), {}), chervilport_error);
+}
