Add the shell of an instance, the command line and stand-in workers

Cause: the decision core, the replicated log and the transport need a process around them, and a newcomer needs a path to see. Change: replica_group drives the replicated log with time, storage and messages; domain, worker and job controllers act on it; control_api serves a call here or forwards it to the leader; chervilportd and chervilport are the two binaries; standin-worker plays workers of the platform. The decision core gains views of its workers and an opaque payload per job.

--- /dev/null
+++ b/apps/chervilport/status_commands.cpp
@@ -0,0 +1,29 @@
+#include "apps/chervilport/status_commands.h"
+
+#include "apps/chervilport/client_call.h"
+#include "apps/chervilport/client_options.h"
+#include "apps/chervilport/table_printer.h"
+#include "chervilport/core/chervilport_error.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace chervilport {
+
+int showStatus(const client_options& options, int argc, char**)
+{
+    if (argc != 1)
+        throw chervilport_error(error_kind::InvalidRequest, "takes no arguments");
+    const auto answer = nlohmann::json::parse(sendCall(options, { "GET", "/v1/status", {}, {} }).body);
+    if (options.json) {
+        std::cout << answer.dump() << '\n';
+        return 0;
+    }
+    std::vector<std::vector<std::string>> rows;
+    for (const auto& [path, value] : answer.flatten().items())
+        rows.push_back({ path.substr(1), value.is_string() ? value.get<std::string>() : value.dump() });
+    printTable(std::cout, rows);
+    return 0;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/apps/chervilport/subcommand.cpp
@@ -0,0 +1,55 @@
+#include "apps/chervilport/subcommand.h"
+
+#include "apps/chervilport/job_commands.h"
+#include "apps/chervilport/status_commands.h"
+
+#include <array>
+#include <iostream>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::string_view submitDetails = R"(Options:
+      --workspace NAME        workspace (required unless in the file)
+      --team NAME             team within the workspace
+      --kind NAME             kind of work, for learned run times
+      --key TEXT              idempotency key; a resend under the same key gives the same job
+      --class NAME            urgent, standard or batch (standard)
+      --tasks N               tasks of the gang, 1 to 64 (1)
+      --accelerators N        accelerators of each task (1)
+      --cores N               cores of each task (1)
+      --memory-mb N           memory of each task (1024)
+      --placement NAME        any, adjacent_racks, rack or worker (any)
+      --run-time SECONDS      declared run time
+      --deadline SECONDS      time from now after which the result is useless
+      --payload TEXT          what the workers are to run
+      --failure-domain NAME   home domain (that of the instance)
+      --checkpointable        the workers can checkpoint the job
+      --not-preemptible       the job must not be stopped for a guarantee
+      --file FILE             read the submission as JSON; - for standard input; later options replace members
+      --wait                  wait for the end of the job
+)";
+
+    constexpr auto subcommands = std::to_array<subcommand>({
+        { "job", "submit", "[options]", "Submit a job.", submitDetails, submitJob },
+        { "job", "show", "[--wait] ID", "Show a job, or wait for its end.", "", showJob },
+        { "job", "list", "[--workspace NAME] [--failure-domain NAME]", "List the newest jobs.", "", listJobs },
+        { "job", "cancel", "ID", "Cancel a job.", "", cancelJob },
+        { "instance", "status", "", "Show the status of the instance that answers.", "", showStatus },
+    });
+
+} // namespace
+
+std::span<const subcommand> allSubcommands() { return subcommands; }
+
+void printHelp(const subcommand& command)
+{
+    std::cout << "Usage: chervilport [global options] " << command.group << ' ' << command.name << ' '
+              << command.arguments << "\n\n"
+              << command.summary << "\n";
+    if (!command.details.empty())
+        std::cout << '\n' << command.details;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/apps/chervilportd/main.cpp
@@ -0,0 +1,113 @@
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/instance/instance.h"
+#include "chervilport/logging/log.h"
+#include "chervilport/settings/settings_reader.h"
+
+#include <cstdio>
+#include <exception>
+#include <getopt.h>
+#include <iostream>
+#include <string>
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--check-config]
+
+Runs one instance of chervilport. Without a file it runs alone on 127.0.0.1:7400 and keeps no state on disk.
+
+  -c, --config FILE    read settings from the TOML file
+      --check-config   check the settings, print every fault, and exit
+  -h, --help           print this text
+      --version        print the version
+
+Exit codes: 0 planned stop or valid settings, 1 the instance could not start or failed, 2 wrong usage or settings.
+)";
+
+struct options {
+    std::string configFile;
+    bool checkOnly = false;
+};
+
+enum long_option : int {
+    CheckConfig = 256,
+    Version,
+};
+
+/// Returns an exit code, or -1 to go on.
+int readOptions(int argc, char** argv, options& given)
+{
+    static const option longOptions[] = {
+        { "config", required_argument, nullptr, 'c' },
+        { "check-config", no_argument, nullptr, CheckConfig },
+        { "help", no_argument, nullptr, 'h' },
+        { "version", no_argument, nullptr, Version },
+        {},
+    };
+    int chosen = 0;
+    while ((chosen = getopt_long(argc, argv, "c:h", longOptions, nullptr)) != -1) {
+        switch (chosen) {
+        case 'c':
+            given.configFile = optarg;
+            break;
+        case CheckConfig:
+            given.checkOnly = true;
+            break;
+        case 'h':
+            std::cout << usage;
+            return exitOk;
+        case Version:
+            std::cout << "chervilportd " << CHERVILPORT_VERSION << '\n';
+            return exitOk;
+        default:
+            std::cerr << usage;
+            return exitUsage;
+        }
+    }
+    if (optind != argc) {
+        std::cerr << "unexpected argument: " << argv[optind] << '\n' << usage;
+        return exitUsage;
+    }
+    return -1;
+}
+
+int run(const options& given)
+{
+    using namespace chervilport;
+
+    // Check the settings as a whole before anything starts.
+    settings_result settings;
+    if (!given.configFile.empty())
+        settings = readSettingsFile(given.configFile);
+    for (const auto& error : settings.errors)
+        std::cerr << describe(error) << '\n';
+    if (!settings.errors.empty())
+        return exitUsage;
+    if (given.checkOnly) {
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+
+    setUpLog(settings.values.logLevel, settings.values.logFile);
+    instance served(settings.values);
+    served.run();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options given;
+    if (const int code = readOptions(argc, argv, given); code >= 0)
+        return code;
+    try {
+        return run(given);
+    } catch (const std::exception& error) {
+        std::cerr << "chervilportd: " << error.what() << '\n';
+        return exitFailure;
+    }
+}
--- /dev/null
+++ b/chervilport/instance/control_api.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "chervilport/instance/control_call.h"
+#include "chervilport/instance/forward_outcome.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class job_controller;
+class replica_group;
+class worker_controller;
+
+/// What the control interface needs from its owner.
+struct control_api_hooks {
+    /// Sends a call to another instance; the callback runs once on the control thread.
+    std::function<void(std::uint64_t instance, const control_call&, std::function<void(forward_outcome)>)> forward;
+    /// Returns the instances of a failure domain, empty when it is unknown.
+    std::function<std::vector<std::uint64_t>(std::string_view failureDomain)> instancesOf;
+    /// Returns the status document of this instance as JSON text.
+    std::function<std::string()> describeStatus;
+    /// Takes an announcement of an executor.
+    std::function<http_response(std::string_view body)> announceExecutor;
+};
+
+/// The control interface: routes each call to the controller that serves it, here or on the instance that leads the
+/// domain. While no leader is known a call waits within its deadline. Runs on the control thread.
+class control_api : public std::enable_shared_from_this<control_api> {
+public:
+    /// Creates the interface of an instance in the given failure domain.
+    control_api(asio::io_context&, std::string failureDomain, std::shared_ptr<replica_group> domainGroup,
+        std::shared_ptr<job_controller>, std::shared_ptr<worker_controller>, control_api_hooks);
+
+    /// Answers a call exactly once.
+    void handle(std::shared_ptr<control_call>);
+
+private:
+    void serve(const std::shared_ptr<control_call>&);
+    void serveJobs(const std::shared_ptr<control_call>&, std::string_view path, std::string_view query);
+    void serveAnnouncement(const std::shared_ptr<control_call>&);
+    void onLeader(const std::shared_ptr<control_call>&, const std::function<void()>& action);
+    void forwardTo(const std::shared_ptr<control_call>&, std::uint64_t instance);
+    void forwardToDomain(const std::shared_ptr<control_call>&, std::string_view failureDomain);
+    void retryLater(const std::shared_ptr<control_call>&, const std::string& reason);
+
+    asio::io_context& m_context;
+    std::string m_failureDomain;
+    std::shared_ptr<replica_group> m_domainGroup;
+    std::shared_ptr<job_controller> m_jobs;
+    std::shared_ptr<worker_controller> m_workers;
+    control_api_hooks m_hooks;
+    std::uint64_t m_forwardRotation = 0;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/control_plane.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "chervilport/http/http_message.h"
+#include "chervilport/instance/control_plane_hooks.h"
+#include "chervilport/settings/settings.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace chervilport {
+
+/// The control part of an instance: replicated logs, controllers and the control interface, on a thread of its own, so
+/// that a synced write never delays a request on its way to an executor. All functions are safe on any thread.
+class control_plane {
+public:
+    /// Creates a stopped control plane.
+    control_plane(const settings&, control_plane_hooks);
+    ~control_plane();
+
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+
+    /// Loads the stored state and starts the thread. Throws chervilport_error when the state cannot be loaded.
+    void start();
+
+    /// Hands leadership over and calls `done` when another instance leads or the time is up.
+    void prepareStop(std::chrono::milliseconds longest, std::function<void()> done);
+
+    /// Ends the thread. Calls that are not answered yet end as unavailable.
+    void stop();
+
+    /// Answers a call to the control interface. The reply is called once, on the control thread.
+    void handle(http_request, std::chrono::milliseconds remaining, std::function<void(http_response)> reply);
+
+    /// Returns whether the domain has a leader that this instance knows of.
+    bool isReady() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/domain_command.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "chervilport/core/log_time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// State machine of a domain's log that a command is for.
+enum class domain_command_kind : std::uint8_t {
+    /// An encoded scheduling event.
+    Scheduling = 1,
+    /// An encoded step of a claim on a non-idempotent request.
+    Claim = 2,
+};
+
+/// A command in the replicated log of a domain.
+struct domain_command {
+    /// Which state machine it is for.
+    domain_command_kind kind = domain_command_kind::Scheduling;
+    /// Log time stamped by the leader that proposed it.
+    log_time time;
+    /// Encoded content.
+    std::string content;
+};
+
+/// Encodes a command as one byte of kind, eight bytes of time (little-endian microseconds) and the content.
+std::string encodeDomainCommand(const domain_command&);
+
+/// Decodes a command. Throws chervilport_error of kind StorageFailure on bytes that are none.
+domain_command decodeDomainCommand(std::string_view bytes);
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/domain_controller.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "chervilport/consensus/replica.h"
+#include "chervilport/core/log_time.h"
+#include "chervilport/instance/log_clock_source.h"
+#include "chervilport/instance/proposal_result.h"
+#include "chervilport/scheduling/decision_core.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class replica_group;
+
+/// What the domain controller needs from its owner.
+struct domain_hooks {
+    /// Executes commands towards workers. Called only on a leader, after the commands are committed.
+    std::function<void(std::span<const command>)> dispatch;
+    /// Tells every command that was applied, on every replica; for metrics and logs.
+    std::function<void(std::span<const command>)> observe;
+};
+
+/// Owner of the state machine of a domain's log: the schedule. Runs on the control thread.
+class domain_controller : public std::enable_shared_from_this<domain_controller> {
+public:
+    /// Called with the fate of an event and, when it is committed, with the commands that followed from it.
+    using event_callback = std::function<void(proposal_result, std::span<const command>)>;
+
+    /// Creates the controller of an empty domain.
+    domain_controller(asio::io_context&, domain_hooks);
+    ~domain_controller();
+
+    /// Connects the controller to its log; the group must not be started yet.
+    void attach(std::shared_ptr<replica_group>);
+
+    /// Applies a committed command.
+    void apply(std::string_view payload);
+
+    /// Returns the encoded state.
+    std::string takeSnapshot() const;
+
+    /// Replaces the state.
+    void loadSnapshot(std::string_view data);
+
+    /// Follows a change of role.
+    void statusChanged(const replica_status&);
+
+    /// Proposes an event; the callback may be empty.
+    void submit(const event&, event_callback callback = {});
+
+    /// Returns the schedule as this replica has applied it.
+    const schedule_state& schedule() const { return *m_schedule; }
+
+    /// Returns the log time that corresponds to now, for relative deadlines.
+    log_time logNow();
+
+    /// Stops the timers.
+    void stop();
+
+private:
+    struct timer;
+
+    void armWakeTimer();
+
+    domain_hooks m_hooks;
+    std::unique_ptr<timer> m_timer;
+    std::weak_ptr<replica_group> m_group;
+    schedule_state_ptr m_schedule;
+    log_clock_source m_clock;
+    std::vector<command> m_lastCommands;
+    bool m_leading = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/json_reader.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// Reads the members of one JSON object strictly: wrong types, values out of range and unknown members are refused with
+/// chervilport_error of kind InvalidRequest that names the member.
+class json_reader {
+public:
+    /// Reads from an object; `path` is its full name in messages, empty for the whole document.
+    json_reader(const nlohmann::json& object, std::string path);
+
+    /// Returns a text of at most `maxBytes` bytes, or the fallback when the member is missing.
+    std::string text(std::string_view key, std::size_t maxBytes, std::string_view fallback = {});
+
+    /// Returns a text that must be present and not empty.
+    std::string requiredText(std::string_view key, std::size_t maxBytes);
+
+    /// Returns a whole number within the bounds, both included, or the fallback when the member is missing.
+    std::int64_t integer(std::string_view key, std::int64_t lowest, std::int64_t highest, std::int64_t fallback);
+
+    /// Returns a whole number within the bounds, or nothing when the member is missing.
+    std::optional<std::int64_t> optionalInteger(std::string_view key, std::int64_t lowest, std::int64_t highest);
+
+    /// Returns a truth value, or the fallback when the member is missing.
+    bool boolean(std::string_view key, bool fallback);
+
+    /// Returns a member that is an object, or null when it is missing.
+    const nlohmann::json* object(std::string_view key);
+
+    /// Returns a member that is an array of at most `maxItems`, or null when it is missing.
+    const nlohmann::json* array(std::string_view key, std::size_t maxItems);
+
+    /// Returns any member, or null when it is missing.
+    const nlohmann::json* any(std::string_view key);
+
+    /// Refuses members that were not asked for.
+    void refuseUnknown() const;
+
+private:
+    [[noreturn]] void fail(std::string_view key, const std::string& message) const;
+
+    const nlohmann::json& m_object;
+    std::string m_path;
+    std::set<std::string, std::less<>> m_known;
+};
+
+/// Parses a document whose top level is an object. Throws chervilport_error of kind InvalidRequest.
+nlohmann::json parseJsonObject(std::string_view text);
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/monotonic_now.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "chervilport/core/log_time.h"
+
+namespace chervilport {
+
+/// Returns the local monotonic clock as log time, for timers and leases; its zero is arbitrary.
+log_time monotonicNow();
+
+/// Returns the wall clock as log time, in microseconds since 1970-01-01 UTC.
+log_time wallNow();
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/peer_link.cpp
@@ -0,0 +1,193 @@
+#include "chervilport/instance/peer_link.h"
+
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/instance/read_secret.h"
+#include "chervilport/instance/split_address.h"
+#include "chervilport/logging/log.h"
+#include "chervilport/transport/peer_transport.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::string_view part = "peers";
+    constexpr std::string_view hopsHeader = "Chervilport-Hops";
+    constexpr std::chrono::milliseconds fetchTimeout { 2'000 };
+
+    std::chrono::milliseconds remainingOf(const control_call& call)
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - monotonicNow());
+        return std::max(left, std::chrono::milliseconds(0));
+    }
+
+    forward_call toForwardCall(const control_call& call)
+    {
+        forward_call forwarded { call.request.method, call.request.target, {}, call.request.body, remainingOf(call) };
+        for (const auto& header : call.request.headers) {
+            if (!equalHeaderNames(header.name, hopsHeader))
+                forwarded.headers.push_back({ header.name, header.value });
+        }
+        forwarded.headers.push_back({ std::string(hopsHeader), std::to_string(call.hops + 1) });
+        return forwarded;
+    }
+
+    std::shared_ptr<control_call> toControlCall(const forward_call& forwarded, const forward_responder& respond)
+    {
+        auto call = std::make_shared<control_call>();
+        call->request = { forwarded.method, forwarded.path, {}, forwarded.body };
+        call->deadline = monotonicNow() + forwarded.remaining;
+        // A call without a readable number of hops is not forwarded again.
+        call->hops = 1'000;
+        for (const auto& header : forwarded.headers) {
+            if (equalHeaderNames(header.name, hopsHeader))
+                std::from_chars(header.value.data(), header.value.data() + header.value.size(), call->hops);
+            else
+                call->request.headers.push_back({ header.name, header.value });
+        }
+        call->reply = [respond](const http_response& response) {
+            forward_answer answer { static_cast<std::uint16_t>(response.status), {}, response.body };
+            for (const auto& header : response.headers)
+                answer.headers.push_back({ header.name, header.value });
+            respond(std::move(answer));
+        };
+        return call;
+    }
+
+    forward_outcome toOutcome(const forward_result& result)
+    {
+        if (const auto* const answer = std::get_if<forward_answer>(&result)) {
+            http_response response { answer->status, {}, answer->body };
+            for (const auto& header : answer->headers)
+                response.headers.push_back({ header.name, header.value });
+            return { std::move(response), false, {} };
+        }
+        const auto& failure = std::get<forward_failure>(result);
+        return { std::nullopt, failure.outcome == run_outcome::NotRun, failure.reason };
+    }
+
+} // namespace
+
+struct peer_link::implementation {
+    implementation(asio::io_context& given, const settings& givenSettings, peer_link_hooks givenHooks)
+        : context(given)
+        , values(givenSettings)
+        , hooks(std::move(givenHooks))
+    {
+    }
+
+    asio::io_context& context;
+    settings values;
+    peer_link_hooks hooks;
+    std::unique_ptr<peer_transport> transport;
+    std::uint64_t configurationVersion = 0;
+};
+
+peer_link::peer_link(
+    asio::io_context& context, const settings& values, std::uint64_t incarnation, peer_link_hooks hooks)
+    : m_implementation(std::make_unique<implementation>(context, values, std::move(hooks)))
+{
+    transport_identity identity { values.clusterId, readSecret(values.secretFile),
+        static_cast<member_id>(values.instanceId), incarnation };
+
+    // The callbacks run on the transport thread and only post to the control thread.
+    transport_callbacks callbacks;
+    auto& self = *m_implementation;
+    callbacks.onDeliver = [&self](member_id from, envelope received) {
+        asio::post(self.context, [&self, from, received = std::move(received)] {
+            const auto instance = static_cast<std::uint64_t>(from);
+            for (const auto& each : received.messages)
+                self.hooks.receive(each.scope, each.content);
+            for (const auto& notice : received.notices)
+                self.hooks.receiveNotice(instance, notice);
+            self.hooks.observeConfiguration(instance, received.configurationVersion);
+        });
+    };
+    callbacks.onForward = [&self](member_id, const forward_call& call, const forward_responder& respond) {
+        asio::post(self.context, [&self, call, respond] { self.hooks.serve(toControlCall(call, respond)); });
+    };
+    callbacks.onConnected = [](member_id peer, std::uint64_t) {
+        logInfo(part, "connected to instance " + std::to_string(static_cast<std::uint64_t>(peer)));
+    };
+    callbacks.onDisconnected = [](member_id peer) {
+        logWarning(part, "lost the connection to instance " + std::to_string(static_cast<std::uint64_t>(peer)));
+    };
+    callbacks.onLog = [](const std::string& line) { logInfo(part, line); };
+    self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks));
+}
+
+peer_link::~peer_link() { stop(); }
+
+void peer_link::start()
+{
+    const auto& values = m_implementation->values;
+    std::vector<peer_address> peers;
+    for (const auto& listed : values.instances) {
+        if (listed.id == values.instanceId)
+            continue;
+        const auto address = splitAddress(listed.peer);
+        peers.push_back({ static_cast<member_id>(listed.id), address.ip, address.port });
+    }
+    const auto own = splitAddress(values.peerListen);
+    m_implementation->transport->start(own.ip, own.port, std::move(peers));
+}
+
+void peer_link::stop() { m_implementation->transport->stop(); }
+
+void peer_link::send(replication_scope scope, std::vector<message> messages)
+{
+    std::map<member_id, envelope> envelopes;
+    for (auto& each : messages)
+        envelopes[each.to].messages.push_back({ scope, std::move(each) });
+    for (auto& [peer, each] : envelopes) {
+        each.configurationVersion = m_implementation->configurationVersion;
+        m_implementation->transport->send(peer, std::move(each));
+    }
+}
+
+void peer_link::notify(std::span<const std::uint64_t> instances, const std::string& notice)
+{
+    for (const auto instance : instances) {
+        envelope sent;
+        sent.configurationVersion = m_implementation->configurationVersion;
+        sent.notices.push_back(notice);
+        m_implementation->transport->send(static_cast<member_id>(instance), std::move(sent));
+    }
+}
+
+void peer_link::forward(std::uint64_t instance, const control_call& call, std::function<void(forward_outcome)> done)
+{
+    auto& context = m_implementation->context;
+    m_implementation->transport->forward(static_cast<member_id>(instance), toForwardCall(call),
+        [&context, done = std::move(done)](const forward_result& result) {
+            asio::post(context, [done, outcome = toOutcome(result)] { done(outcome); });
+        });
+}
+
+void peer_link::publishConfiguration(std::uint64_t version, std::string content)
+{
+    m_implementation->configurationVersion = version;
+    m_implementation->transport->publishConfiguration({ version, std::move(content) });
+}
+
+void peer_link::fetchConfiguration(
+    std::uint64_t instance, std::uint64_t known, std::function<void(std::uint64_t version, std::string content)> done)
+{
+    auto& context = m_implementation->context;
+    m_implementation->transport->fetchConfiguration(static_cast<member_id>(instance), known, fetchTimeout,
+        [&context, known, done = std::move(done)](const std::optional<configuration_copy>& copy) {
+            if (!copy || copy->version <= known)
+                return;
+            asio::post(context, [done, copy = *copy] { done(copy.version, copy.content); });
+        });
+}
+
+transport_counters peer_link::counters() const { return m_implementation->transport->counters(); }
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/worker_controller.cpp
@@ -0,0 +1,270 @@
+#include "chervilport/instance/worker_controller.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/http/error_response.h"
+#include "chervilport/instance/domain_controller.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/instance/replica_group.h"
+#include "chervilport/instance/worker_commands.h"
+#include "chervilport/logging/log.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::string_view part = "workers";
+    // Commands without confirmation are sent again at this interval; leases are checked at the same time.
+    constexpr std::chrono::milliseconds tickInterval { 500 };
+    constexpr std::int64_t thousandths = 1'000;
+
+    // Returns the event for a report, or nothing when a running task needs none.
+    event reportEvent(const std::string& worker, const announced_task& announced)
+    {
+        switch (announced.state) {
+        case announced_task_state::Running:
+            return task_started { worker, announced.task };
+        case announced_task_state::Succeeded:
+            return task_ended { worker, announced.task, true };
+        case announced_task_state::Failed:
+            return task_ended { worker, announced.task, false };
+        case announced_task_state::Stopped:
+            return task_stopped { worker, announced.task, false };
+        case announced_task_state::Checkpointed:
+            return task_stopped { worker, announced.task, true };
+        }
+        return timer_fired {};
+    }
+
+    worker_joined joinEvent(const worker_announcement& announcement)
+    {
+        worker_joined joined;
+        joined.worker = announcement.address;
+        joined.incarnation = announcement.incarnation;
+        joined.rack = announcement.rack;
+        joined.rackPosition = announcement.rackPosition;
+        joined.capacity = announcement.capacity;
+        for (const auto& announced : announcement.tasks) {
+            if (announced.state == announced_task_state::Running)
+                joined.tasks.push_back(announced.task);
+        }
+        return joined;
+    }
+
+    // Collects the fates of several proposals and reports once.
+    struct joint_result {
+        std::size_t remaining = 1;
+        bool committed = true;
+        std::function<void(bool)> done;
+
+        void settle(bool ok)
+        {
+            committed &= ok;
+            if (--remaining == 0)
+                done(committed);
+        }
+    };
+
+} // namespace
+
+struct worker_controller::timer {
+    explicit timer(asio::io_context& context)
+        : tick(context)
+    {
+    }
+    asio::steady_timer tick;
+};
+
+worker_controller::worker_controller(asio::io_context& context, worker_controller_config config,
+    std::shared_ptr<domain_controller> domain, std::shared_ptr<replica_group> group)
+    : m_config(std::move(config))
+    , m_timer(std::make_unique<timer>(context))
+    , m_domain(std::move(domain))
+    , m_group(std::move(group))
+{
+}
+
+worker_controller::~worker_controller() = default;
+
+void worker_controller::start() { scheduleTick(); }
+
+void worker_controller::stop()
+{
+    m_stopped = true;
+    m_timer->tick.cancel();
+}
+
+void worker_controller::announce(const worker_announcement& announcement, reply_callback reply)
+{
+    if (announcement.failureDomain != m_config.failureDomain) {
+        reply(makeErrorResponse(error_kind::InvalidRequest, "the worker belongs to another failure domain"));
+        return;
+    }
+    const auto known = findWorker(m_domain->schedule(), announcement.address);
+    if (known && known->incarnation > announcement.incarnation) {
+        reply(makeErrorResponse(error_kind::VersionConflict, "a newer incarnation of this worker is known"));
+        return;
+    }
+
+    // A worker that is new, restarted or was lost joins first; its reports count only after that.
+    const auto finish = [weak = weak_from_this(), announcement, reply = std::move(reply)](bool committed) {
+        const auto self = weak.lock();
+        if (self && committed)
+            self->grant(announcement, reply);
+        else
+            reply(makeErrorResponse(error_kind::Unavailable, "the announcement was not committed"));
+    };
+    if (known && known->incarnation == announcement.incarnation) {
+        submitReports(announcement, finish);
+        return;
+    }
+    m_leases.erase(announcement.address);
+    m_domain->submit(joinEvent(announcement),
+        [weak = weak_from_this(), announcement, finish](proposal_result result, std::span<const command>) {
+            const auto self = weak.lock();
+            if (!self || result != proposal_result::Committed) {
+                finish(false);
+                return;
+            }
+            logInfo(part, "worker " + announcement.address + " joined");
+            self->submitReports(announcement, finish);
+        });
+}
+
+void worker_controller::submitReports(const worker_announcement& announcement, const std::function<void(bool)>& done)
+{
+    auto& lease = m_leases[announcement.address];
+    lease.incarnation = announcement.incarnation;
+    if (lease.grantedAt == log_time {})
+        lease.grantedAt = monotonicNow();
+
+    // Only reports that differ from the last committed ones enter the log.
+    const auto joint = std::make_shared<joint_result>();
+    joint->done = done;
+    const auto submit = [&](const event& submitted, std::function<void()> onCommit) {
+        ++joint->remaining;
+        m_domain->submit(
+            submitted, [joint, onCommit = std::move(onCommit)](proposal_result result, std::span<const command>) {
+                const bool committed = result == proposal_result::Committed;
+                if (committed && onCommit)
+                    onCommit();
+                joint->settle(committed);
+            });
+    };
+    for (const auto& announced : announcement.tasks) {
+        const auto state = static_cast<std::uint8_t>(announced.state);
+        const auto previous = lease.committedReports.find(announced.task);
+        if (previous != lease.committedReports.end() && previous->second == state)
+            continue;
+        submit(reportEvent(announcement.address, announced),
+            [weak = weak_from_this(), worker = announcement.address, task = announced.task, state] {
+                if (const auto self = weak.lock())
+                    self->m_leases[worker].committedReports[task] = state;
+            });
+    }
+    if (announcement.leaving)
+        submit(worker_leaving { announcement.address }, {});
+    joint->settle(true);
+}
+
+void worker_controller::grant(const worker_announcement& announcement, const reply_callback& reply)
+{
+    if (!m_leading || !m_group->mayServe()) {
+        reply(makeErrorResponse(error_kind::NotLeader, "this instance no longer leads the domain"));
+        return;
+    }
+    auto& lease = m_leases[announcement.address];
+    lease.grantedAt = monotonicNow();
+    lease.sequence = std::max(lease.sequence, announcement.sequence);
+
+    // Ended tasks are acknowledged, so that the worker can forget them; so does this lease once they are gone.
+    nlohmann::json acknowledged = nlohmann::json::array();
+    std::map<reported_task, std::uint8_t, reported_task_order> kept;
+    for (const auto& announced : announcement.tasks) {
+        kept[announced.task] = static_cast<std::uint8_t>(announced.state);
+        if (announced.state != announced_task_state::Running)
+            acknowledged.push_back(taskToJson(announced.task));
+    }
+    lease.committedReports = std::move(kept);
+    const nlohmann::json body {
+        { "lease_ms", m_config.lease.count() },
+        { "renew_ms", m_config.renewal.count() },
+        { "epoch", m_group->status().term },
+        { "acknowledged", std::move(acknowledged) },
+    };
+    reply({ 200, { { "Content-Type", "application/json" } }, body.dump() });
+}
+
+void worker_controller::dispatch(std::span<const command> commands)
+{
+    if (!m_leading || !m_group->mayServe())
+        return;
+    const auto epoch = m_group->status().term;
+    for (const auto& [worker, body] : batchWorkerCommands(commands, m_domain->schedule(), epoch)) {
+        http_request request { "POST", "/tasks", { { "Content-Type", "application/json" } }, body };
+        m_config.send(worker, std::move(request));
+    }
+}
+
+void worker_controller::leadershipChanged(bool leading)
+{
+    m_leading = leading;
+    m_leadingSince = monotonicNow();
+    m_leases.clear();
+}
+
+void worker_controller::scheduleTick()
+{
+    m_timer->tick.expires_after(tickInterval);
+    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_stopped)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void worker_controller::tick()
+{
+    if (!m_leading || !m_group->mayServe())
+        return;
+    dispatch(outstandingCommands(m_domain->schedule()));
+    loseExpiredWorkers(monotonicNow());
+}
+
+void worker_controller::loseExpiredWorkers(log_time now)
+{
+    // The worker counts its lease from before it sent the announcement, so it always stops its tasks earlier.
+    const auto term = log_duration(m_config.lease) * (thousandths + m_config.clockRateMargin) / thousandths;
+    for (const auto& known : listWorkers(m_domain->schedule())) {
+        const auto found = m_leases.find(known.worker);
+        const auto grantedAt
+            = found == m_leases.end() ? m_leadingSince : std::max(found->second.grantedAt, m_leadingSince);
+        if (now - grantedAt <= term)
+            continue;
+        auto& lease = m_leases[known.worker];
+        if (lease.losing)
+            continue;
+        lease.losing = true;
+        lease.grantedAt = grantedAt;
+        logWarning(part, "the lease of worker " + known.worker + " ran out");
+        m_domain->submit(worker_lost { known.worker },
+            [weak = weak_from_this(), worker = known.worker](proposal_result result, std::span<const command>) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                if (result == proposal_result::Committed)
+                    self->m_leases.erase(worker);
+                else if (const auto left = self->m_leases.find(worker); left != self->m_leases.end())
+                    left->second.losing = false;
+            });
+    }
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/instance/worker_controller.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "chervilport/core/log_time.h"
+#include "chervilport/http/http_message.h"
+#include "chervilport/instance/worker_announcement.h"
+#include "chervilport/instance/worker_lease.h"
+#include "chervilport/scheduling/command.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class domain_controller;
+class replica_group;
+
+/// Times and connections that the worker controller works with.
+struct worker_controller_config {
+    /// Failure domain of this instance.
+    std::string failureDomain;
+    /// Length of a lease.
+    std::chrono::milliseconds lease { 10'000 };
+    /// Time between two announcements of a worker.
+    std::chrono::milliseconds renewal { 3'000 };
+    /// Largest difference between the clock rates of two machines, in thousandths.
+    std::int32_t clockRateMargin = 10;
+    /// Sends a request to the HTTP address of a worker; answers are not needed, as workers report by announcement.
+    std::function<void(const std::string& worker, http_request)> send;
+};
+
+/// Keeps the leases of the workers of a domain and sends them their commands. Acts only on the leader of the domain's
+/// log; runs on the control thread.
+class worker_controller : public std::enable_shared_from_this<worker_controller> {
+public:
+    /// Called once with the answer to an announcement.
+    using reply_callback = std::function<void(http_response)>;
+
+    /// Creates the controller.
+    worker_controller(asio::io_context&, worker_controller_config, std::shared_ptr<domain_controller>,
+        std::shared_ptr<replica_group>);
+    ~worker_controller();
+
+    /// Starts to check leases and to repeat commands.
+    void start();
+
+    /// Stops the timers.
+    void stop();
+
+    /// Handles an announcement. The lease is granted only after everything new in it is committed.
+    void announce(const worker_announcement&, reply_callback);
+
+    /// Sends commands to workers at once.
+    void dispatch(std::span<const command>);
+
+    /// Follows a change of leadership; a new leader counts all leases from now, because it does not know what its
+    /// predecessor granted last.
+    void leadershipChanged(bool leading);
+
+    /// Returns the number of workers that hold a lease.
+    std::size_t leases() const { return m_leases.size(); }
+
+private:
+    struct timer;
+
+    void scheduleTick();
+    void tick();
+    void loseExpiredWorkers(log_time now);
+    void submitReports(const worker_announcement&, const std::function<void(bool)>& done);
+    void grant(const worker_announcement&, const reply_callback&);
+
+    worker_controller_config m_config;
+    std::unique_ptr<timer> m_timer;
+    std::shared_ptr<domain_controller> m_domain;
+    std::shared_ptr<replica_group> m_group;
+    std::map<std::string, worker_lease, std::less<>> m_leases;
+    log_time m_leadingSince;
+    bool m_leading = false;
+    bool m_stopped = false;
+};
+
+} // namespace chervilport
--- a/chervilport/scheduling/decision_core.h
+++ b/chervilport/scheduling/decision_core.h
@@ -69,6 +69,18 @@
     std::int32_t activeTasks = 0;
 };
 
+/// What the shell must know of a worker that is not lost.
+struct worker_view {
+    /// Name.
+    std::string worker;
+    /// Incarnation that joined.
+    std::uint64_t incarnation = 0;
+    /// Whether it is leaving.
+    bool leaving = false;
+    /// Whether it is in quarantine.
+    bool quarantined = false;
+};
+
 /// Creates the state of an empty domain.
 schedule_state_ptr makeScheduleState();
 
@@ -88,6 +100,15 @@
 /// Returns totals over the fleet.
 fleet_view viewFleet(const schedule_state&);
 
+/// Returns a worker that joined and is not lost, or nothing.
+std::optional<worker_view> findWorker(const schedule_state&, std::string_view worker);
+
+/// Returns all workers that joined and are not lost, by name.
+std::vector<worker_view> listWorkers(const schedule_state&);
+
+/// Returns the version of the last `configuration_changed`, 0 before the first.
+std::uint64_t configurationVersion(const schedule_state&);
+
 /// Returns the time that the core wants to be woken at, if any.
 std::optional<log_time> nextWakeTime(const schedule_state&);
 
--- a/chervilport/scheduling/job_spec.h
+++ b/chervilport/scheduling/job_spec.h
@@ -21,6 +21,8 @@
     std::string kind;
     /// Idempotency key, unique per workspace; a resend under the same key gives the same job. May be empty.
     std::string clientKey;
+    /// What the workers are to run; opaque to the scheduler and passed on as it is.
+    std::string payload;
     /// Service class.
     job_class jobClass = job_class::Standard;
     /// Number of tasks of the gang, 1 to 64; all of them run together or none does.
--- /dev/null
+++ b/standins/worker/standin_worker.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "chervilport/http/http_message.h"
+#include "chervilport/http/http_responder.h"
+#include "standins/worker/standin_worker_options.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class http_client;
+class http_listener;
+
+/// A worker of the platform in small: takes tasks under a lease, lets each run for the `run_ms` of its payload, and
+/// reports by announcement. It starts what it is given, whether it fits or not, and keeps a record for checks.
+class standin_worker : public std::enable_shared_from_this<standin_worker> {
+public:
+    /// Creates a worker that shares the client of its process.
+    standin_worker(asio::io_context&, http_client&, standin_worker_options);
+    ~standin_worker();
+
+    /// Opens the listener on a free port of the loopback address and announces the worker.
+    void start();
+
+private:
+    using task_key = std::tuple<std::uint64_t, int, int>;
+    struct task {
+        std::string state;
+        std::uint64_t serial = 0;
+    };
+    struct timers;
+
+    void handle(const http_request&, const http_responder&);
+    void takeCommands(const nlohmann::json& batch);
+    void startTask(const nlohmann::json& item);
+    void stopTask(const nlohmann::json& item);
+    void endTask(const task_key&, std::uint64_t serial, const std::string& state);
+    void announceSoon();
+    void announce();
+    void takeLease(const std::string& body, std::chrono::steady_clock::time_point sentAt);
+    void checkLease();
+    std::string announcementBody();
+    std::string recordBody() const;
+
+    asio::io_context& m_context;
+    http_client& m_client;
+    standin_worker_options m_options;
+    std::unique_ptr<timers> m_timers;
+    std::unique_ptr<http_listener> m_listener;
+    std::string m_address;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_serial = 0;
+    std::uint64_t m_startedTasks = 0;
+    std::size_t m_instanceIndex = 0;
+    bool m_announcing = false;
+    bool m_announceAgain = false;
+    bool m_hasLease = false;
+    std::chrono::steady_clock::time_point m_leaseEnd;
+    std::chrono::milliseconds m_renewal { 1'000 };
+    std::map<task_key, task> m_tasks;
+    int m_mostAccelerators = 0;
+};
+
+} // namespace chervilport
