--- /dev/null
+++ b/chervilport/scheduling/capacity_view.cpp
@@ -0,0 +1,124 @@
+#include "chervilport/scheduling/capacity_view.h"
+
+#include "chervilport/scheduling/estimates.h"
+#include "chervilport/scheduling/resource_math.h"
+#include "chervilport/scheduling/schedule_state.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace chervilport {
+
+namespace {
+
+    /// Share of comparable jobs, in thousandths, that must end before a reservation is due for a job to be backfilled.
+    constexpr std::int32_t backfillQuantile = 800;
+
+} // namespace
+
+bool avoids(const schedule_state& state, const job_record& job, const worker_record& worker)
+{
+    // A job that failed on most of a small fleet may use all of it again.
+    if (job.failedOn.empty() || job.failedOn.size() * 2 > state.workerByName.size())
+        return false;
+    return std::find(job.failedOn.begin(), job.failedOn.end(), worker.name) != job.failedOn.end();
+}
+
+std::vector<resources> reservedAgainst(const schedule_state& state, const job_record& job)
+{
+    std::vector<resources> kept(state.workers.size());
+    if (state.reservations.empty())
+        return kept;
+    const auto endsBy = state.now + remainingQuantile(state, job.spec, job.savedRunTime, backfillQuantile);
+    for (const auto& [id, reserved] : state.reservations) {
+        if (id == job.id)
+            continue;
+        if (job.spec.preemptible && !reserved.reclaiming && endsBy <= reserved.expectedAt)
+            continue;
+        const auto& demand = state.jobs.at(id).spec.perTask;
+        for (const auto worker : reserved.workers)
+            kept[worker] = kept[worker] + demand;
+    }
+    return kept;
+}
+
+std::vector<resources> freeFor(const schedule_state& state, const job_record& job)
+{
+    auto room = reservedAgainst(state, job);
+    for (std::size_t i = 0; i < room.size(); ++i) {
+        const auto& worker = state.workers[i];
+        const auto usable = isPlaceable(worker) && !avoids(state, job, worker);
+        room[i] = usable ? worker.capacity - worker.used - room[i] : resources {};
+    }
+    return room;
+}
+
+slot_table slotsFor(const job_record& job, std::span<const resources> room)
+{
+    slot_table slots;
+    slots.free.reserve(room.size());
+    slots.spare.reserve(room.size());
+    for (const auto& amount : room) {
+        slots.free.push_back(countFitting(job.spec.perTask, amount, job.spec.taskCount));
+        slots.spare.push_back(std::max(0, amount.accelerators));
+    }
+    slots.total = slots.free;
+    slots.cost.assign(room.size(), 0);
+    return slots;
+}
+
+std::vector<std::pair<std::int32_t, resources>> demandByWorker(
+    const job_record& job, std::span<const std::int32_t> workers)
+{
+    std::vector<std::int32_t> sorted(workers.begin(), workers.end());
+    std::sort(sorted.begin(), sorted.end());
+    std::vector<std::pair<std::int32_t, resources>> sums;
+    for (const auto worker : sorted) {
+        if (sums.empty() || sums.back().first != worker)
+            sums.emplace_back(worker, resources {});
+        sums.back().second = sums.back().second + job.spec.perTask;
+    }
+    return sums;
+}
+
+bool withinQuotas(const schedule_state& state, const job_record& job)
+{
+    const auto index = workspaceIndex(state, job.spec.workspace);
+    if (index == state.configuration.workspaces.size())
+        return false;
+    const auto& workspace = state.configuration.workspaces[index];
+    const auto demand = gangAccelerators(job.spec);
+    if (workspace.maxBorrowedAccelerators >= 0) {
+        const auto held = state.heldByWorkspace.find(workspace.name);
+        const auto sum = demand + (held == state.heldByWorkspace.end() ? 0 : held->second);
+        if (sum > guaranteedAccelerators(workspace) + workspace.maxBorrowedAccelerators)
+            return false;
+    }
+    const auto team = std::find_if(workspace.teams.begin(), workspace.teams.end(),
+        [&](const team_quota& quota) { return quota.team == job.spec.team; });
+    if (team == workspace.teams.end())
+        return true;
+    const auto held = state.heldByTeam.find({ workspace.name, job.spec.team });
+    return demand + (held == state.heldByTeam.end() ? 0 : held->second) <= team->maxAccelerators;
+}
+
+bool isCovered(const schedule_state& state, const job_record& job)
+{
+    const auto index = workspaceIndex(state, job.spec.workspace);
+    if (index == state.configuration.workspaces.size())
+        return false;
+    const auto guaranteed = guaranteedAccelerators(state.configuration.workspaces[index]);
+    auto needed = gangAccelerators(job.spec);
+    if (needed > guaranteed)
+        return false;
+    for (const auto& [id, other] : state.jobs) {
+        if (other.state == job_state::Queued || other.spec.workspace != job.spec.workspace)
+            continue;
+        if (other.spec.preemptible && other.spec.jobClass > job.spec.jobClass)
+            continue;
+        needed += gangAccelerators(other.spec);
+    }
+    return needed <= guaranteed;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/event_codec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "chervilport/scheduling/event.h"
+
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// Writes an event as bytes for the replicated log.
+std::string encodeEvent(const event&);
+
+/// Reads an event back. Throws chervilport_error of kind StorageFailure if the bytes are not exactly one event.
+event decodeEvent(std::string_view bytes);
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/reclaim.cpp
@@ -0,0 +1,248 @@
+#include "chervilport/scheduling/reclaim.h"
+
+#include "chervilport/scheduling/attempts.h"
+#include "chervilport/scheduling/capacity_view.h"
+#include "chervilport/scheduling/estimates.h"
+#include "chervilport/scheduling/resource_math.h"
+#include "chervilport/scheduling/schedule_state.h"
+#include "chervilport/scheduling/witness.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    using cost_table = std::map<job_id, std::int64_t>;
+
+    /// Overhead of stopping and starting a job again.
+    constexpr log_duration restartOverhead = std::chrono::seconds(10);
+
+    /// Costs of all jobs that can make room; jobs that already stop cost nothing.
+    cost_table victimCosts(const schedule_state& state, const job_record& job, const victim_cost& costOf)
+    {
+        cost_table costs;
+        for (const auto& [id, other] : state.jobs) {
+            if (other.tasks.empty() || id == job.id)
+                continue;
+            if (other.state == job_state::Stopping)
+                costs.emplace(id, 0);
+            else if (const auto cost = costOf(other))
+                costs.emplace(id, *cost);
+        }
+        return costs;
+    }
+
+    /// What the given jobs hold on a worker.
+    resources heldBy(const schedule_state& state, const worker_record& worker, const std::set<job_id>& jobs)
+    {
+        resources sum;
+        for (const auto& [id, rank] : worker.tasks)
+            if (jobs.contains(id))
+                sum = sum + state.jobs.at(id).spec.perTask;
+        return sum;
+    }
+
+    /// Adds the cheapest victims until the demand fits on the worker.
+    void chooseOnWorker(const schedule_state& state, const worker_record& worker, const resources& demand,
+        const resources& room, const cost_table& costs, std::set<job_id>& chosen)
+    {
+        std::vector<std::pair<std::int64_t, job_id>> candidates;
+        for (const auto& [id, rank] : worker.tasks)
+            if (const auto cost = costs.find(id); cost != costs.end())
+                candidates.emplace_back(cost->second, id);
+        std::sort(candidates.begin(), candidates.end());
+        for (const auto& [cost, id] : candidates) {
+            if (fits(demand, room + heldBy(state, worker, chosen)))
+                return;
+            chosen.insert(id);
+        }
+    }
+
+    using demand_list = std::vector<std::pair<std::int32_t, resources>>;
+
+    bool fitsEverywhere(const schedule_state& state, const demand_list& demands, const std::vector<resources>& room,
+        const std::set<job_id>& chosen)
+    {
+        return std::all_of(demands.begin(), demands.end(), [&](const auto& entry) {
+            return fits(entry.second, room[entry.first] + heldBy(state, state.workers[entry.first], chosen));
+        });
+    }
+
+    /// Spares the victims that turned out not to be needed, the dearest first.
+    void spareNeedless(const schedule_state& state, const demand_list& demands, const std::vector<resources>& room,
+        const cost_table& costs, std::set<job_id>& chosen)
+    {
+        std::vector<std::pair<std::int64_t, job_id>> order;
+        for (const auto id : chosen)
+            if (state.jobs.at(id).state != job_state::Stopping)
+                order.emplace_back(-costs.at(id), id);
+        std::sort(order.begin(), order.end());
+        for (const auto& [cost, id] : order) {
+            chosen.erase(id);
+            if (!fitsEverywhere(state, demands, room, chosen))
+                chosen.insert(id);
+        }
+    }
+
+    std::int64_t seconds(log_duration duration) { return duration.count() / 1'000'000; }
+
+    bool isWithinGuarantee(const schedule_state& state, const std::string& workspace)
+    {
+        const auto index = workspaceIndex(state, workspace);
+        const auto held = state.heldByWorkspace.find(workspace);
+        return index < state.configuration.workspaces.size() && held != state.heldByWorkspace.end()
+            && held->second <= guaranteedAccelerators(state.configuration.workspaces[index]);
+    }
+
+} // namespace
+
+std::optional<reclaim_plan> planReclaim(const schedule_state& state, const job_record& job, const victim_cost& costOf)
+{
+    const auto costs = victimCosts(state, job, costOf);
+    const auto room = freeFor(state, job);
+    const auto allowance = job.spec.preemptible ? std::vector<resources>()
+                                                : firmAllowance(state, workspaceIndex(state, job.spec.workspace));
+
+    // Tasks that fit with and without the victims, and what each further one costs.
+    auto slots = slotsFor(job, room);
+    for (std::size_t i = 0; i < state.workers.size(); ++i) {
+        const auto& worker = state.workers[i];
+        if (!isPlaceable(worker) || avoids(state, job, worker))
+            continue;
+        auto whole = room[i];
+        std::int64_t cost = 0;
+        for (const auto& [id, rank] : worker.tasks) {
+            const auto known = costs.find(id);
+            if (known == costs.end())
+                continue;
+            const auto& spec = state.jobs.at(id).spec;
+            whole = whole + spec.perTask;
+            cost += known->second / spec.taskCount;
+        }
+        if (!allowance.empty()) {
+            whole = minOf(whole, allowance[i]);
+            slots.free[i] = countFitting(job.spec.perTask, minOf(room[i], allowance[i]), job.spec.taskCount);
+        }
+        slots.total[i] = std::max(slots.free[i], countFitting(job.spec.perTask, whole, job.spec.taskCount));
+        slots.cost[i] = cost / std::max(1, slots.total[i] - slots.free[i]);
+    }
+    auto workers = placeGang(state.racks, slots, job.spec.taskCount, job.spec.placement);
+    if (!workers)
+        return std::nullopt;
+
+    // The victims that these places need.
+    reclaim_plan plan { std::move(*workers), {}, 0 };
+    const auto demands = demandByWorker(job, plan.workers);
+    std::set<job_id> chosen;
+    for (const auto& [id, cost] : costs)
+        if (state.jobs.at(id).state == job_state::Stopping)
+            chosen.insert(id);
+    for (const auto& [worker, demand] : demands)
+        chooseOnWorker(state, state.workers[worker], demand, room[worker], costs, chosen);
+    if (!fitsEverywhere(state, demands, room, chosen))
+        return std::nullopt;
+    spareNeedless(state, demands, room, costs, chosen);
+    for (const auto id : chosen) {
+        if (state.jobs.at(id).state == job_state::Stopping)
+            continue;
+        plan.victims.push_back(id);
+        plan.cost += costs.at(id);
+    }
+    return plan;
+}
+
+void executeReclaim(schedule_state& state, const job_record& job, const reclaim_plan& plan, const char* reason,
+    std::vector<command>& out)
+{
+    const auto due = state.now + state.configuration.policy.stopTimeout;
+    state.reservations[job.id] = { plan.workers, state.now, due, true };
+    for (const auto id : plan.victims) {
+        auto& victim = state.jobs.at(id);
+        ++victim.preemptions;
+        const auto mode = victim.spec.checkpointable && victim.state == job_state::Running ? stop_mode::Checkpoint
+                                                                                           : stop_mode::Kill;
+        stopAttempt(state, victim, mode, job_state::Queued, reason, out);
+    }
+}
+
+log_duration expectedLoss(const schedule_state& state, const job_record& job)
+{
+    const auto ran = job.startedAt ? state.now - *job.startedAt : log_duration(0);
+    // A checkpoint may not be written within the stop timeout, which a kill then ends.
+    constexpr std::int32_t lostCheckpoints = 5;
+    return restartOverhead + (job.spec.checkpointable ? ran / lostCheckpoints : ran);
+}
+
+bool reclaimForGuarantee(schedule_state& state, const job_record& job, std::vector<command>& out)
+{
+    const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
+        if (!other.spec.preemptible)
+            return std::nullopt;
+        const auto cost = seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
+        if (other.spec.workspace == job.spec.workspace)
+            return other.spec.jobClass > job.spec.jobClass ? std::optional(cost) : std::nullopt;
+        // Jobs within the guarantee of another workspace move only where no borrower can.
+        constexpr std::int64_t guaranteedFactor = 1000;
+        return isWithinGuarantee(state, other.spec.workspace) ? cost * guaranteedFactor : cost;
+    };
+    const auto plan = planReclaim(state, job, costOf);
+    if (!plan)
+        return false;
+    executeReclaim(state, job, *plan, "stopped in favour of the guarantee of another job", out);
+    return true;
+}
+
+bool reclaimIfItPays(schedule_state& state, const job_record& job, log_duration wait, std::vector<command>& out)
+{
+    const auto size = std::max(1, gangAccelerators(job.spec));
+    const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
+        if (!other.spec.preemptible || !other.spec.checkpointable || other.state != job_state::Running
+            || other.spec.jobClass < job.spec.jobClass)
+            return std::nullopt;
+        // A smaller job finds a place again sooner.
+        const auto delay = expectedLoss(state, other) + wait * std::max(1, gangAccelerators(other.spec)) / size;
+        if (other.spec.deadline && state.now + remainingRunTime(state, other) + delay > *other.spec.deadline)
+            return std::nullopt;
+        return seconds(delay) * (1 + other.preemptions);
+    };
+    const auto plan = planReclaim(state, job, costOf);
+    if (!plan || plan->cost >= seconds(wait))
+        return false;
+    executeReclaim(state, job, *plan, "moved to make room for another job", out);
+    return true;
+}
+
+bool reclaimBackfilled(schedule_state& state, const job_record& job, std::vector<command>& out)
+{
+    auto& reserved = state.reservations.at(job.id);
+    if (reserved.reclaiming)
+        return false;
+    std::set<job_id> backfilled;
+    for (const auto& [id, other] : state.jobs)
+        if (!other.tasks.empty() && other.spec.preemptible && other.placedAt >= reserved.madeAt)
+            backfilled.insert(id);
+    const auto demands = demandByWorker(job, reserved.workers);
+    std::set<job_id> victims;
+    for (const auto& [index, demand] : demands) {
+        const auto& worker = state.workers[index];
+        const auto room = worker.capacity - worker.used;
+        if (fits(demand, room))
+            continue;
+        if (!fits(demand, room + heldBy(state, worker, backfilled)))
+            return false;
+        for (const auto& [id, rank] : worker.tasks)
+            if (backfilled.contains(id))
+                victims.insert(id);
+    }
+    reserved.reclaiming = true;
+    executeReclaim(state, job, { reserved.workers, std::vector<job_id>(victims.begin(), victims.end()), 0 },
+        "was backfilled on places reserved for another job", out);
+    return true;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/reservation.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "chervilport/core/log_time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace chervilport {
+
+/// Places that are kept for a queued job until all of them are free.
+struct reservation {
+    /// Worker index of each task.
+    std::vector<std::int32_t> workers;
+    /// When it was made.
+    log_time madeAt;
+    /// When its places are expected to be free.
+    log_time expectedAt;
+    /// Whether the present holders were told to stop; nothing may be backfilled then.
+    bool reclaiming = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/reservations.cpp
@@ -0,0 +1,103 @@
+#include "chervilport/scheduling/reservations.h"
+
+#include "chervilport/scheduling/capacity_view.h"
+#include "chervilport/scheduling/estimates.h"
+#include "chervilport/scheduling/placement.h"
+#include "chervilport/scheduling/resource_math.h"
+#include "chervilport/scheduling/schedule_state.h"
+#include "chervilport/scheduling/witness.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <tuple>
+
+namespace chervilport {
+
+namespace {
+
+    struct release {
+        log_time at;
+        job_id job {};
+        std::int32_t worker = 0;
+        resources amount;
+    };
+
+    /// Expected ends of all tasks, the earliest first.
+    std::vector<release> expectedReleases(const schedule_state& state)
+    {
+        std::vector<release> releases;
+        for (const auto& [id, job] : state.jobs) {
+            if (job.tasks.empty())
+                continue;
+            const auto left = job.state == job_state::Stopping ? state.configuration.policy.stopTimeout
+                                                               : remainingRunTime(state, job);
+            for (const auto& task : job.tasks)
+                if (task.phase != task_phase::Gone)
+                    releases.push_back({ state.now + left, id, task.worker, job.spec.perTask });
+        }
+        std::sort(releases.begin(), releases.end(), [](const release& a, const release& b) {
+            return std::tuple(a.at, a.job, a.worker) < std::tuple(b.at, b.job, b.worker);
+        });
+        return releases;
+    }
+
+} // namespace
+
+std::optional<reservation> earliestPlaces(const schedule_state& state, const job_record& job)
+{
+    const auto room = freeFor(state, job);
+    const auto releases = expectedReleases(state);
+    const auto allowance = job.spec.preemptible ? std::vector<resources>()
+                                                : firmAllowance(state, workspaceIndex(state, job.spec.workspace));
+    const auto placesAfter = [&](std::size_t count) {
+        auto later = room;
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto worker = releases[i].worker;
+            if (isPlaceable(state.workers[worker]) && !avoids(state, job, state.workers[worker]))
+                later[worker] = later[worker] + releases[i].amount;
+        }
+        for (std::size_t i = 0; i < allowance.size(); ++i)
+            later[i] = minOf(later[i], allowance[i]);
+        return placeGang(state.racks, slotsFor(job, later), job.spec.taskCount, job.spec.placement);
+    };
+
+    // More ends leave more room, so the first sufficient number of ends is found by bisection.
+    auto best = placesAfter(releases.size());
+    if (!best)
+        return std::nullopt;
+    std::size_t low = 0;
+    std::size_t high = releases.size();
+    while (low < high) {
+        const auto middle = low + (high - low) / 2;
+        if (auto places = placesAfter(middle)) {
+            best = std::move(places);
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    const auto at = high == 0 ? state.now : releases[high - 1].at;
+    return reservation { std::move(*best), state.now, at, false };
+}
+
+void dropInvalidReservations(schedule_state& state)
+{
+    std::erase_if(state.reservations, [&](const auto& entry) {
+        const auto job = state.jobs.find(entry.first);
+        if (job == state.jobs.end() || job->second.state != job_state::Queued)
+            return true;
+        return std::any_of(entry.second.workers.begin(), entry.second.workers.end(),
+            [&](std::int32_t worker) { return !isPlaceable(state.workers[worker]); });
+    });
+}
+
+bool arePlacesFree(const schedule_state& state, const job_record& job, std::span<const std::int32_t> workers)
+{
+    const auto demands = demandByWorker(job, workers);
+    return std::all_of(demands.begin(), demands.end(), [&](const auto& entry) {
+        const auto& worker = state.workers[entry.first];
+        return fits(entry.second, worker.capacity - worker.used);
+    });
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/reservations.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "chervilport/scheduling/job_record.h"
+#include "chervilport/scheduling/reservation.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace chervilport {
+
+struct schedule_state;
+
+/// Returns the places at which the job is expected to find room first if running jobs end as estimated, or nothing if
+/// it finds none even then. Leaves the places of other reservations alone.
+std::optional<reservation> earliestPlaces(const schedule_state&, const job_record&);
+
+/// Drops reservations of jobs that are not queued any more or whose places went out of service.
+void dropInvalidReservations(schedule_state&);
+
+/// Returns whether all places are free now.
+bool arePlacesFree(const schedule_state&, const job_record&, std::span<const std::int32_t> workers);
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/scheduling/witness.cpp
@@ -0,0 +1,272 @@
+#include "chervilport/scheduling/witness.h"
+
+#include "chervilport/scheduling/placement.h"
+#include "chervilport/scheduling/resource_math.h"
+#include "chervilport/scheduling/schedule_state.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    using use_table = std::vector<std::vector<resources>>;
+
+    /// What all workspaces together need on a worker: their guaranteed places may overlap only with their own
+    /// non-preemptible jobs.
+    resources neededOn(const schedule_state& state, const use_table& witnessUse, std::size_t worker)
+    {
+        resources sum;
+        for (std::size_t i = 0; i < state.firmUse.size(); ++i)
+            sum = sum
+                + (i < witnessUse.size() ? maxOf(witnessUse[i][worker], state.firmUse[i][worker])
+                                         : state.firmUse[i][worker]);
+        return sum;
+    }
+
+    resources witnessCapacity(const worker_record& worker)
+    {
+        return isPlaceable(worker) ? worker.capacity : resources {};
+    }
+
+    void addInstance(use_table& use, const witness_instance& instance)
+    {
+        for (const auto worker : instance.workers)
+            use[instance.workspace][worker] = use[instance.workspace][worker] + instance.gang.perTask;
+    }
+
+    void removeInstance(use_table& use, const witness_instance& instance)
+    {
+        for (const auto worker : instance.workers)
+            use[instance.workspace][worker] = use[instance.workspace][worker] - instance.gang.perTask;
+    }
+
+    use_table sumInstances(const schedule_state& state, const std::vector<witness_instance>& instances)
+    {
+        use_table use(state.configuration.workspaces.size(), std::vector<resources>(state.workers.size()));
+        for (const auto& instance : instances)
+            addInstance(use, instance);
+        return use;
+    }
+
+    /// Finds a place for one instance beside the others. Places on the workspace's own non-preemptible jobs cost
+    /// nothing extra, so they are preferred.
+    bool placeInstance(const schedule_state& state, use_table& use, witness_instance& instance)
+    {
+        const auto count = state.workers.size();
+        const auto own = static_cast<std::size_t>(instance.workspace);
+        slot_table slots { std::vector<std::int32_t>(count), std::vector<std::int32_t>(count),
+            std::vector<std::int64_t>(count), std::vector<std::int32_t>(count) };
+        for (std::size_t i = 0; i < count; ++i) {
+            if (!isPlaceable(state.workers[i]))
+                continue;
+            auto others = neededOn(state, use, i) - maxOf(use[own][i], state.firmUse[own][i]);
+            const auto room = state.workers[i].capacity - others - use[own][i];
+            slots.total[i] = countFitting(instance.gang.perTask, room, instance.gang.taskCount);
+            slots.free[i] = slots.total[i];
+            slots.spare[i] = std::max(0, room.accelerators - state.firmUse[own][i].accelerators);
+        }
+        auto workers = placeGang(state.racks, slots, instance.gang.taskCount, instance.gang.placement);
+        if (!workers)
+            return false;
+        instance.workers = std::move(*workers);
+        addInstance(use, instance);
+        return true;
+    }
+
+    /// Drops the places that are on workers out of service or in conflict with non-preemptible jobs or others.
+    void dropInvalid(const schedule_state& state, use_table& use, std::vector<witness_instance>& instances)
+    {
+        for (std::size_t worker = 0; worker < state.workers.size(); ++worker) {
+            // The use of non-preemptible jobs on a worker out of service is not the witness's concern.
+            const auto& record = state.workers[worker];
+            const auto overfull = [&] {
+                if (!isPlaceable(record))
+                    return true;
+                return !fits(neededOn(state, use, worker), witnessCapacity(record));
+            };
+            for (auto instance = instances.rbegin(); instance != instances.rend() && overfull(); ++instance) {
+                if (std::find(instance->workers.begin(), instance->workers.end(), static_cast<std::int32_t>(worker))
+                    == instance->workers.end())
+                    continue;
+                removeInstance(use, *instance);
+                instance->workers.clear();
+            }
+        }
+    }
+
+    std::int64_t missingIn(const std::vector<witness_instance>& instances)
+    {
+        std::int64_t sum = 0;
+        for (const auto& instance : instances)
+            if (instance.workers.empty())
+                sum += instance.gang.taskCount * std::max(1, instance.gang.perTask.accelerators);
+        return sum;
+    }
+
+    /// Order in which instances are packed: the strictest and largest first.
+    std::vector<std::size_t> packingOrder(const std::vector<witness_instance>& instances, bool sizeFirst)
+    {
+        std::vector<std::size_t> order(instances.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+            const auto key = [&](const witness_instance& instance) {
+                const auto size = -instance.gang.taskCount * instance.gang.perTask.accelerators;
+                const auto strictness = -static_cast<std::int32_t>(instance.gang.placement);
+                return sizeFirst ? std::pair(size, strictness) : std::pair(strictness, size);
+            };
+            return key(instances[a]) < key(instances[b]);
+        });
+        return order;
+    }
+
+    /// Places the instances that have none, in the given order.
+    void placeMissing(const schedule_state& state, use_table& use, std::vector<witness_instance>& instances,
+        const std::vector<std::size_t>& order)
+    {
+        // A demand that found no place finds none later in the same run, because places are only taken.
+        std::vector<std::size_t> failed;
+        for (const auto index : order) {
+            auto& instance = instances[index];
+            if (!instance.workers.empty())
+                continue;
+            const auto same = [&](std::size_t other) {
+                return instances[other].workspace == instance.workspace && instances[other].gang == instance.gang;
+            };
+            if (std::any_of(failed.begin(), failed.end(), same))
+                continue;
+            if (!placeInstance(state, use, instance))
+                failed.push_back(index);
+        }
+    }
+
+    /// Returns the best places found: the present ones completed, or a new packing where that misses less.
+    std::vector<witness_instance> improveWitness(const schedule_state& state)
+    {
+        auto best = state.witness;
+        auto use = sumInstances(state, best);
+        dropInvalid(state, use, best);
+        if (missingIn(best) == 0)
+            return best;
+        placeMissing(state, use, best, packingOrder(best, false));
+        for (const auto sizeFirst : { false, true }) {
+            if (missingIn(best) == 0)
+                break;
+            auto fresh = state.witness;
+            for (auto& instance : fresh)
+                instance.workers.clear();
+            use = sumInstances(state, fresh);
+            placeMissing(state, use, fresh, packingOrder(fresh, sizeFirst));
+            if (missingIn(fresh) < missingIn(best))
+                best = std::move(fresh);
+        }
+        return best;
+    }
+
+} // namespace
+
+void rebuildWitnessUse(schedule_state& state) { state.witnessUse = sumInstances(state, state.witness); }
+
+void rebuildWitnessInstances(schedule_state& state, std::span<const workspace_config> previous)
+{
+    auto old = std::exchange(state.witness, {});
+    const auto& workspaces = state.configuration.workspaces;
+    for (std::size_t i = 0; i < workspaces.size(); ++i)
+        for (const auto& part : workspaces[i].guarantee)
+            for (std::int32_t ordinal = 0; ordinal < part.count; ++ordinal) {
+                auto gang = part;
+                gang.count = 1;
+                state.witness.push_back({ static_cast<std::int32_t>(i), gang, {} });
+            }
+    // Places are kept where the workspace and the gang are the same; the repair checks whether they are valid.
+    for (auto& instance : state.witness) {
+        const auto same = std::find_if(old.begin(), old.end(), [&](const witness_instance& other) {
+            return !other.workers.empty() && other.gang == instance.gang
+                && previous[other.workspace].name == workspaces[instance.workspace].name;
+        });
+        if (same != old.end())
+            instance.workers = std::exchange(same->workers, {});
+    }
+    rebuildWitnessUse(state);
+}
+
+void repairWitness(schedule_state& state)
+{
+    state.witness = improveWitness(state);
+    rebuildWitnessUse(state);
+}
+
+std::int32_t missingAccelerators(const schedule_state& state, std::size_t workspace)
+{
+    std::int32_t sum = 0;
+    for (const auto& instance : state.witness)
+        if (instance.workers.empty() && static_cast<std::size_t>(instance.workspace) == workspace)
+            sum += instance.gang.taskCount * instance.gang.perTask.accelerators;
+    return sum;
+}
+
+bool hasShortfall(const schedule_state& state)
+{
+    return std::any_of(state.witness.begin(), state.witness.end(),
+        [](const witness_instance& instance) { return instance.workers.empty(); });
+}
+
+std::vector<resources> firmAllowance(const schedule_state& state, std::size_t workspace)
+{
+    const auto shortfall = hasShortfall(state);
+    std::vector<resources> allowance(state.workers.size());
+    const auto hasGuarantee = workspace < state.witnessUse.size();
+    for (std::size_t i = 0; i < allowance.size(); ++i) {
+        if (!isPlaceable(state.workers[i]))
+            continue;
+        const auto guaranteed = hasGuarantee ? state.witnessUse[workspace][i] : resources {};
+        const auto firm = state.firmUse[workspace][i];
+        if (shortfall) {
+            allowance[i] = guaranteed - firm;
+            continue;
+        }
+        const auto others = neededOn(state, state.witnessUse, i) - maxOf(guaranteed, firm);
+        allowance[i] = state.workers[i].capacity - others - firm;
+    }
+    return allowance;
+}
+
+bool admitFirm(schedule_state& state, const job_spec& spec, std::span<const std::int32_t> workers)
+{
+    if (hasShortfall(state))
+        return false;
+    auto& firm = state.firmUse[workspaceIndex(state, spec.workspace)];
+    for (const auto worker : workers)
+        firm[worker] = firm[worker] + spec.perTask;
+    auto moved = improveWitness(state);
+    for (const auto worker : workers)
+        firm[worker] = firm[worker] - spec.perTask;
+    if (missingIn(moved) != 0)
+        return false;
+    state.witness = std::move(moved);
+    rebuildWitnessUse(state);
+    return true;
+}
+
+void reportShortfalls(schedule_state& state, std::vector<command>& out)
+{
+    std::map<std::string, std::int32_t> present;
+    const auto& workspaces = state.configuration.workspaces;
+    for (std::size_t i = 0; i < workspaces.size(); ++i)
+        if (const auto missing = missingAccelerators(state, i); missing > 0)
+            present[workspaces[i].name] = missing;
+    for (const auto& [name, missing] : present)
+        if (const auto old = state.reportedShortfall.find(name);
+            old == state.reportedShortfall.end() || old->second != missing)
+            out.emplace_back(guarantee_shortfall_changed { name, missing });
+    for (const auto& [name, missing] : state.reportedShortfall)
+        if (!present.contains(name))
+            out.emplace_back(guarantee_shortfall_changed { name, 0 });
+    state.reportedShortfall = std::move(present);
+}
+
+} // namespace chervilport
