Add streams, baselines and driver of the policy benchmark

Cause: the policy of the decision core has no measurement yet, and its targets in docs/design.md compare it with strict FIFO and backfill.

The baselines are strict FIFO with first fit and FIFO with EASY backfill.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: install build test format format-check lint clean
+.PHONY: install build test format format-check lint bench-policy clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -28,5 +28,11 @@
 	$(if $(LINT_FILES),echo $(LINT_FILES) | tr ' ' '\n',git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '/generated/') \
 		| xargs -P $$(nproc) -n 1 clang-tidy -p build/release --quiet
 
+# One seed: make bench-policy ARGS="--seed 7"
+bench-policy: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target bench_policy
+	build/release/benchmarks/policy/bench_policy $(ARGS)
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/benchmarks/policy/fleet_map.cpp
@@ -0,0 +1,172 @@
+#include "benchmarks/policy/fleet_map.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace chervilport::policy_benchmark {
+
+resources add(const resources& a, const resources& b)
+{
+    return { a.accelerators + b.accelerators, a.millicores + b.millicores, a.memoryMb + b.memoryMb };
+}
+
+resources subtract(const resources& a, const resources& b)
+{
+    return { a.accelerators - b.accelerators, a.millicores - b.millicores, a.memoryMb - b.memoryMb };
+}
+
+bool isNonNegative(const resources& amount)
+{
+    return amount.accelerators >= 0 && amount.millicores >= 0 && amount.memoryMb >= 0;
+}
+
+std::int32_t tasksThatFit(const resources& free, const resources& perTask)
+{
+    std::int64_t count = std::numeric_limits<std::int32_t>::max();
+    if (perTask.accelerators > 0)
+        count = std::min<std::int64_t>(count, free.accelerators / perTask.accelerators);
+    if (perTask.millicores > 0)
+        count = std::min<std::int64_t>(count, free.millicores / perTask.millicores);
+    if (perTask.memoryMb > 0)
+        count = std::min<std::int64_t>(count, free.memoryMb / perTask.memoryMb);
+    return static_cast<std::int32_t>(std::max<std::int64_t>(count, 0));
+}
+
+namespace {
+
+    // Tasks that fit a range of consecutive workers.
+    struct worker_range {
+        std::size_t begin = 0;
+        std::size_t end = 0;
+        std::int32_t tasks = 0;
+    };
+
+    std::vector<std::int32_t> fitPerWorker(
+        const fleet_map& fleet, const resources& perTask, std::span<const std::size_t> excluded)
+    {
+        std::vector<std::int32_t> fit;
+        fit.reserve(fleet.workers.size());
+        for (const auto& worker : fleet.workers)
+            fit.push_back(tasksThatFit(worker.free, perTask));
+        for (const auto worker : excluded)
+            fit.at(worker) = 0;
+        return fit;
+    }
+
+    std::vector<worker_range> rangesByRack(const fleet_map& fleet, std::span<const std::int32_t> fit)
+    {
+        std::vector<worker_range> racks;
+        for (std::size_t i = 0; i < fit.size(); ++i) {
+            if (i == 0 || fleet.workers[i].rackPosition != fleet.workers[i - 1].rackPosition)
+                racks.push_back({ i, i, 0 });
+            racks.back().end = i + 1;
+            racks.back().tasks += fit[i];
+        }
+        return racks;
+    }
+
+    std::vector<worker_range> rangesByWorker(std::span<const std::int32_t> fit)
+    {
+        std::vector<worker_range> ranges;
+        for (std::size_t i = 0; i < fit.size(); ++i)
+            ranges.push_back({ i, i + 1, fit[i] });
+        return ranges;
+    }
+
+    // Each run of racks that can all take a task; a rack without a task would break the adjacency.
+    std::vector<worker_range> runsOfRacks(const fleet_map& fleet, std::span<const std::int32_t> fit)
+    {
+        std::vector<worker_range> runs;
+        bool extend = false;
+        for (const auto& rack : rangesByRack(fleet, fit)) {
+            if (rack.tasks == 0) {
+                extend = false;
+                continue;
+            }
+            if (extend) {
+                runs.back().end = rack.end;
+                runs.back().tasks += rack.tasks;
+            } else {
+                runs.push_back(rack);
+            }
+            extend = true;
+        }
+        return runs;
+    }
+
+    std::vector<worker_range> candidateRanges(
+        const fleet_map& fleet, std::span<const std::int32_t> fit, adjacency placement)
+    {
+        switch (placement) {
+        case adjacency::Worker:
+            return rangesByWorker(fit);
+        case adjacency::Rack:
+            return rangesByRack(fleet, fit);
+        case adjacency::AdjacentRacks:
+            return runsOfRacks(fleet, fit);
+        case adjacency::Any:
+            break;
+        }
+        worker_range all { 0, fit.size(), 0 };
+        for (const auto tasks : fit)
+            all.tasks += tasks;
+        return { all };
+    }
+
+} // namespace
+
+std::optional<std::vector<std::size_t>> placeFirstFit(
+    const fleet_map& fleet, const gang_demand& demand, std::span<const std::size_t> excluded)
+{
+    const auto fit = fitPerWorker(fleet, demand.perTask, excluded);
+    for (const auto& range : candidateRanges(fleet, fit, demand.placement)) {
+        if (range.tasks < demand.taskCount)
+            continue;
+        std::vector<std::size_t> workers;
+        auto missing = demand.taskCount;
+        for (auto i = range.begin; i < range.end && missing > 0; ++i) {
+            const auto here = std::min(missing, fit[i]);
+            workers.insert(workers.end(), here, i);
+            missing -= here;
+        }
+        return workers;
+    }
+    return std::nullopt;
+}
+
+std::int32_t largestPlaceable(const fleet_map& fleet, const gang_demand& demand, std::int32_t limit)
+{
+    const auto fit = fitPerWorker(fleet, demand.perTask, {});
+    std::int32_t largest = 0;
+    for (const auto& range : candidateRanges(fleet, fit, demand.placement))
+        largest = std::max(largest, range.tasks);
+    return std::min(largest, limit);
+}
+
+void take(fleet_map& fleet, std::span<const std::size_t> workers, const resources& perTask)
+{
+    for (const auto worker : workers)
+        fleet.workers.at(worker).free = subtract(fleet.workers.at(worker).free, perTask);
+}
+
+bool isCloseEnough(const fleet_map& fleet, std::span<const std::size_t> workers, adjacency placement)
+{
+    std::set<std::size_t> used(workers.begin(), workers.end());
+    std::set<std::int32_t> racks;
+    for (const auto worker : used)
+        racks.insert(fleet.workers.at(worker).rackPosition);
+    switch (placement) {
+    case adjacency::Any:
+        return true;
+    case adjacency::AdjacentRacks:
+        return *racks.rbegin() - *racks.begin() + 1 == static_cast<std::int32_t>(racks.size());
+    case adjacency::Rack:
+        return racks.size() == 1;
+    case adjacency::Worker:
+        return used.size() == 1;
+    }
+    return false;
+}
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/fleet_map.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "chervilport/scheduling/adjacency.h"
+#include "chervilport/scheduling/resources.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace chervilport::policy_benchmark {
+
+/// Free capacity of a worker.
+struct fleet_slot {
+    /// Free resources; zero while the worker is lost.
+    resources free;
+    /// Position of its rack.
+    std::int32_t rackPosition = 0;
+};
+
+/// Free capacity of a fleet; workers are in order of their racks, and racks have consecutive positions from 0.
+struct fleet_map {
+    /// The workers.
+    std::vector<fleet_slot> workers;
+};
+
+/// Demand of a gang.
+struct gang_demand {
+    /// Number of tasks.
+    std::int32_t taskCount = 1;
+    /// Demand of each task.
+    resources perTask;
+    /// Required closeness.
+    adjacency placement = adjacency::Any;
+};
+
+/// Returns the sum of two amounts.
+resources add(const resources&, const resources&);
+
+/// Returns the difference of two amounts.
+resources subtract(const resources&, const resources&);
+
+/// Returns whether no amount is negative.
+bool isNonNegative(const resources&);
+
+/// Returns how many tasks fit the free resources.
+std::int32_t tasksThatFit(const resources& free, const resources& perTask);
+
+/// Returns the first place that holds the whole gang, as the worker of each task, or nothing if there is none.
+/// Workers listed in `excluded` are not used.
+std::optional<std::vector<std::size_t>> placeFirstFit(
+    const fleet_map&, const gang_demand&, std::span<const std::size_t> excluded = {});
+
+/// Returns the largest number of tasks, at most `limit`, that can be placed as one gang with the given closeness.
+std::int32_t largestPlaceable(const fleet_map&, const gang_demand&, std::int32_t limit);
+
+/// Takes the demand of a task on each of the workers from the free capacity.
+void take(fleet_map&, std::span<const std::size_t> workers, const resources& perTask);
+
+/// Returns whether a placement has the required closeness.
+bool isCloseEnough(const fleet_map&, std::span<const std::size_t> workers, adjacency);
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/measures.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "benchmarks/policy/event_stream.h"
+#include "benchmarks/policy/run_record.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervilport::policy_benchmark {
+
+/// Measurements of the jobs of one category, or of all.
+struct job_measures {
+    /// Number of jobs measured.
+    std::int64_t jobs = 0;
+    /// Jobs without a completion.
+    std::int64_t notCompleted = 0;
+    /// Mean, median and upper percentiles of the completion time in seconds.
+    double meanS = 0;
+    double p50S = 0;
+    double p95S = 0;
+    double p99S = 0;
+    /// Mean and 95th percentile of the completion time over the run time.
+    double meanSlowdown = 0;
+    double p95Slowdown = 0;
+    /// Jobs with a deadline and those of them that met it.
+    std::int64_t deadlines = 0;
+    std::int64_t deadlineHits = 0;
+};
+
+/// Measurements of one run of one scheduler.
+struct run_measures {
+    /// All measured jobs.
+    job_measures all;
+    /// Measured jobs by category.
+    std::array<job_measures, categoryCount> byCategory;
+    /// Mean completion time of the jobs that every scheduler completed, in seconds.
+    double meanCommonS = 0;
+    /// Mean completion time when jobs without a completion count up to the end of the run, in seconds.
+    double meanToEndS = 0;
+    /// Completion time less run time of gangs of 32 tasks and more, in seconds.
+    double meanLargeGangWaitS = 0;
+    double p95LargeGangWaitS = 0;
+    /// Time from submission to the first start of these gangs, in seconds.
+    double p95LargeGangFirstStartS = 0;
+    /// 95th percentile of the time to the first start of jobs within the guarantee of their workspace, in seconds.
+    double coveredStartP95S = 0;
+    /// 99th percentile of the time to the first start of urgent jobs, all and those within the guarantee, in seconds.
+    double urgentStartP99S = 0;
+    double coveredUrgentStartP99S = 0;
+    /// Share of the free accelerators in gangs of the largest guaranteed shape that would fit by number but have no
+    /// place.
+    double fragmentation = 0;
+    /// Share of the free accelerators that gangs of the largest guaranteed shape cannot use.
+    double unusableFreeShare = 0;
+    /// One less the largest gang that has a place over the free accelerators, both at most one gang of 64.
+    double largestGangFragmentation = 0;
+    /// Mean completion time over the lower bound.
+    double lowerBoundRatio = 0;
+    /// Lower bound of the mean completion time in seconds.
+    double lowerBoundS = 0;
+    /// Jobs that were refused or failed although they can run, and jobs that ended as expired.
+    std::int64_t wronglyRejected = 0;
+    std::int64_t expired = 0;
+    /// Jobs that were still open at the end.
+    std::int64_t open = 0;
+};
+
+/// Computes the measurements of all runs of one stream, in the order of the records. A job that a scheduler did not
+/// complete counts with the longest completion time that any scheduler needed for it, and at least with the time until
+/// it was given up plus its run time; so giving up a job never improves the mean over the baselines.
+std::vector<run_measures> measureRuns(const event_stream&, const std::vector<const run_record*>&);
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/policy_driver.cpp
@@ -0,0 +1,249 @@
+#include "benchmarks/policy/policy_driver.h"
+
+#include "benchmarks/policy/fragmentation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <variant>
+
+namespace chervilport::policy_benchmark {
+
+namespace {
+
+    using std::chrono::hours;
+    using std::chrono::minutes;
+
+    /// Distance of the samples of the free capacity.
+    constexpr log_duration fleetSampleStep = minutes(1);
+    /// Distance of the samples of the state's size.
+    constexpr log_duration stateSampleStep = hours(2);
+    /// Timers at one point of time after which the scheduler is taken to wake itself for ever.
+    constexpr std::int32_t maxTimersAtOnce = 1000;
+
+    std::int64_t threadTimeNs()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return time.tv_sec * 1'000'000'000LL + time.tv_nsec;
+    }
+
+    bool isFinal(job_state state) { return state >= job_state::Succeeded; }
+
+} // namespace
+
+policy_driver::policy_driver(const event_stream& stream, const scheduler& tested)
+    : m_stream(stream)
+    , m_scheduler(tested)
+    , m_workers(stream)
+    , m_ids(stream.jobs.size())
+    , m_saved(stream.jobs.size(), log_duration { 0 })
+    , m_largestShape(largestGuaranteedShape(stream.site))
+{
+    m_record.jobs.resize(stream.jobs.size());
+    for (const auto& workspace : stream.site.workspaces) {
+        for (const auto& guaranteed : workspace.guarantee)
+            m_guaranteed[workspace.name] += static_cast<std::int64_t>(guaranteed.count) * guaranteed.taskCount
+                * guaranteed.perTask.accelerators;
+    }
+}
+
+void policy_driver::fail(const std::string& what) const
+{
+    throw rule_violation("at " + std::to_string(m_now.time_since_epoch().count()) + " us: " + what);
+}
+
+void policy_driver::plan(action next)
+{
+    next.sequence = ++m_sequence;
+    m_actions.push(next);
+}
+
+void policy_driver::planStream()
+{
+    for (std::size_t i = 0; i < m_stream.jobs.size(); ++i) {
+        const auto& job = m_stream.jobs[i];
+        plan({ .at = job.submittedAt, .kind = action_kind::Submit, .index = i });
+        if (job.cancelAt)
+            plan({ .at = *job.cancelAt, .kind = action_kind::Cancel, .index = i });
+    }
+    for (std::size_t i = 0; i < m_stream.faults.size(); ++i) {
+        plan({ .at = m_stream.faults[i].from, .kind = action_kind::FaultBegin, .index = i });
+        plan({ .at = m_stream.faults[i].until, .kind = action_kind::FaultEnd, .index = i });
+    }
+    for (auto at = log_time(); at < m_stream.endOfSubmissions; at += fleetSampleStep)
+        plan({ .at = at, .kind = action_kind::SampleFleet });
+    for (auto at = log_time(); at < m_stream.endOfSubmissions; at += stateSampleStep)
+        plan({ .at = at, .kind = action_kind::SampleState });
+}
+
+bool policy_driver::isOver() const { return m_submitted == m_stream.jobs.size() && m_openJobs == 0; }
+
+run_record policy_driver::run()
+{
+    // Jobs that are still open after five times the period count as not completed.
+    const auto limit = log_time(m_stream.endOfSubmissions.time_since_epoch() * 5);
+    apply(configuration_changed { 1, m_stream.site.workspaces, m_stream.site.policy });
+    for (std::size_t i = 0; i < m_stream.workers.size(); ++i)
+        joinWorker(i);
+    planStream();
+    while (!m_actions.empty() && !isOver()) {
+        const auto next = m_actions.top();
+        m_actions.pop();
+        if (next.at > limit)
+            break;
+        if (next.at > m_now)
+            m_timersAtOnce = 0;
+        m_now = next.at;
+        perform(next);
+    }
+    m_record.endedAt = m_now;
+    return m_record;
+}
+
+void policy_driver::perform(const action& next)
+{
+    switch (next.kind) {
+    case action_kind::Submit:
+        return submit(next.index);
+    case action_kind::Cancel:
+        return cancel(next.index);
+    case action_kind::FaultBegin:
+        return beginFault(next.index);
+    case action_kind::FaultEnd:
+        return endFault(next.index);
+    case action_kind::LeaseExpired:
+        return loseWorker(next.index);
+    case action_kind::ConfirmStart:
+        return confirmStart(next);
+    case action_kind::FailStart:
+        return failStart(next);
+    case action_kind::EndGang:
+        return endGang(next);
+    case action_kind::EndTask:
+        return endTask(next);
+    case action_kind::ConfirmStop:
+        return confirmStop(next);
+    case action_kind::ConfirmUnknownStop:
+        return confirmUnknownStop(next);
+    case action_kind::ReportUsage:
+        return reportUsage(next);
+    case action_kind::CheckWhole:
+        return m_workers.checkWhole(next.job, next.attempt);
+    case action_kind::Timer:
+        return fireTimer(next);
+    case action_kind::SampleFleet:
+        return addFragmentationSample(m_record.fragmentation, m_workers.freeCapacity(), m_largestShape);
+    case action_kind::SampleState:
+        m_record.cost.peakStateBytes
+            = std::max(m_record.cost.peakStateBytes, static_cast<std::int64_t>(m_scheduler.stateBytes()));
+        return;
+    }
+}
+
+void policy_driver::apply(const event& input)
+{
+    const auto elapsedBefore = std::chrono::steady_clock::now();
+    const auto before = threadTimeNs();
+    const auto commands = m_scheduler.apply(input, m_now);
+    const auto spent = threadTimeNs() - before;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::steady_clock::now() - elapsedBefore);
+    auto& cost = m_record.cost;
+    ++cost.decisions;
+    cost.totalNs += spent;
+    if (spent > cost.slowestNs) {
+        cost.slowestNs = spent;
+        cost.slowestEvent = input.index();
+    }
+    cost.slowestElapsedNs = std::max<std::int64_t>(cost.slowestElapsedNs, elapsed.count());
+
+    m_startedNow.clear();
+    for (const auto& next : commands)
+        std::visit([this](const auto& alternative) { handle(alternative); }, next);
+    for (const auto& [job, attempt] : m_startedNow)
+        m_workers.checkPlacement(job, attempt);
+}
+
+std::size_t policy_driver::jobIndex(job_id job) const
+{
+    const auto found = m_jobByKey.find(job);
+    if (found == m_jobByKey.end())
+        fail("command for unknown job " + std::to_string(static_cast<std::uint64_t>(job)));
+    return found->second;
+}
+
+void policy_driver::handle(const job_accepted& answer)
+{
+    // The client key of a job is "key" and its position in the stream.
+    const auto index = static_cast<std::size_t>(std::stoul(answer.clientKey.substr(3)));
+    if (answer.duplicate || m_ids.at(index))
+        fail("submission " + answer.clientKey + " was taken for a duplicate");
+    m_ids[index] = answer.job;
+    m_jobByKey.emplace(answer.job, index);
+}
+
+void policy_driver::handle(const job_refused& answer)
+{
+    const auto index = static_cast<std::size_t>(std::stoul(answer.clientKey.substr(3)));
+    m_record.jobs.at(index).isRefused = true;
+    m_record.jobs[index].state = job_state::Infeasible;
+    closeJob(index);
+}
+
+void policy_driver::handle(const job_changed& change)
+{
+    const auto index = jobIndex(change.job);
+    auto& job = m_record.jobs[index];
+    if (isFinal(job.state))
+        fail("job " + std::to_string(index) + " left its final state");
+    job.state = change.state;
+    if (change.state == job_state::Succeeded && !job.completedAt)
+        fail("job " + std::to_string(index) + " was reported as succeeded before its end");
+    if (isFinal(change.state))
+        closeJob(index);
+}
+
+void policy_driver::handle(const wake_at& wake)
+{
+    const auto at = std::max(wake.time, m_now);
+    plan({ .at = at, .kind = action_kind::Timer, .plan = ++m_timerPlan });
+}
+
+void policy_driver::fireTimer(const action& next)
+{
+    if (next.plan != m_timerPlan)
+        return;
+    if (++m_timersAtOnce > maxTimersAtOnce)
+        fail("the scheduler wakes itself without end");
+    apply(timer_fired {});
+}
+
+void policy_driver::closeJob(std::size_t job)
+{
+    const auto& spec = m_stream.jobs[job].spec;
+    m_record.jobs[job].closedAt = m_now;
+    m_openAccelerators[spec.workspace] -= acceleratorsOf(spec);
+    --m_openJobs;
+}
+
+void policy_driver::submit(std::size_t job)
+{
+    const auto& spec = m_stream.jobs[job].spec;
+    ++m_submitted;
+    ++m_openJobs;
+    auto& open = m_openAccelerators[spec.workspace];
+    open += acceleratorsOf(spec);
+    m_record.jobs[job].isCovered = open <= m_guaranteed[spec.workspace];
+    apply(job_submitted { spec });
+    if (!m_ids[job] && !m_record.jobs[job].isRefused)
+        fail("submission " + spec.clientKey + " was not answered");
+}
+
+void policy_driver::cancel(std::size_t job)
+{
+    if (m_ids[job] && !m_record.jobs[job].closedAt)
+        apply(job_cancelled { *m_ids[job] });
+}
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/policy_driver_workers.cpp
@@ -0,0 +1,352 @@
+// The part of the driver that plays the workers.
+#include "benchmarks/policy/policy_driver.h"
+#include "benchmarks/policy/random_source.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace chervilport::policy_benchmark {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+    using phase = live_task::phase;
+
+    /// Term of a worker lease with its clock-rate margin.
+    constexpr log_duration leaseTerm = milliseconds(10'100);
+    /// Longest time from the last renewal of a lease to the death of the worker.
+    constexpr std::int64_t renewalStepMs = 3'000;
+    /// Time after which a task fails on a worker that fails everything.
+    constexpr log_duration failureDelay = milliseconds(300);
+    /// Grace after the start window until a partial gang is a violation.
+    constexpr log_duration wholeCheckGrace = seconds(1);
+    /// Time of the first usage report of an attempt after its start, and the lag of the measurement.
+    constexpr log_duration usageDelay = minutes(10);
+    constexpr log_duration usageLag = seconds(5);
+
+    std::uint64_t hashOf(std::size_t job, std::int32_t attempt, std::int32_t rank)
+    {
+        return mixHash(job, static_cast<std::uint64_t>(attempt), static_cast<std::uint64_t>(rank));
+    }
+
+    log_duration startDelay(std::uint64_t hash) { return milliseconds(200 + static_cast<std::int64_t>(hash % 600)); }
+
+    log_duration killDelay(std::uint64_t hash) { return milliseconds(100 + static_cast<std::int64_t>(hash % 100)); }
+
+    std::int64_t workOf(const stream_job& job, log_duration time)
+    {
+        return acceleratorsOf(job.spec) * std::chrono::duration_cast<milliseconds>(time).count();
+    }
+
+} // namespace
+
+live_task* policy_driver::findTask(live_attempt* attempt, std::int32_t rank, std::uint64_t plan)
+{
+    if (!attempt)
+        return nullptr;
+    auto& task = attempt->tasks.at(static_cast<std::size_t>(rank));
+    return task.plan == plan && task.state != phase::Gone ? &task : nullptr;
+}
+
+void policy_driver::handle(const start_task& start)
+{
+    const auto job = jobIndex(start.task.job);
+    const auto& wanted = m_stream.jobs[job];
+    if (start.limits != wanted.spec.perTask)
+        fail("job " + std::to_string(job) + " was started with limits other than its demand");
+    const auto worker = m_workers.workerIndex(start.worker);
+    const auto base = start.fromCheckpoint ? m_saved[job] : log_duration { 0 };
+    auto* task = m_workers.addTask(job, start.task, worker, base);
+    if (!task)
+        return;
+    task->plan = ++m_lastPlan;
+    if (m_startedNow.emplace(job, start.task.attempt).second) {
+        m_record.jobs[job].attempts = start.task.attempt;
+        plan({ .at = m_now + m_stream.site.policy.startTimeout + wholeCheckGrace,
+            .kind = action_kind::CheckWhole,
+            .job = job,
+            .attempt = start.task.attempt });
+        // A restart from the beginning loses what a checkpoint had saved.
+        m_record.work.lostByPreemption += workOf(wanted, m_saved[job] - base);
+        m_saved[job] = base;
+    }
+    // A dead worker does not answer.
+    const auto& target = m_workers.worker(worker);
+    if (!target.isAlive) {
+        m_workers.find(job, start.task.attempt)->isBroken = true;
+        return;
+    }
+    const bool fails = target.failsStarts || wanted.alwaysFails;
+    const auto delay = fails ? failureDelay : startDelay(hashOf(job, start.task.attempt, start.task.rank));
+    plan({ .at = m_now + delay,
+        .kind = fails ? action_kind::FailStart : action_kind::ConfirmStart,
+        .job = job,
+        .attempt = start.task.attempt,
+        .rank = start.task.rank,
+        .plan = task->plan });
+}
+
+void policy_driver::handle(const stop_task& stop)
+{
+    const auto job = jobIndex(stop.task.job);
+    const auto worker = m_workers.workerIndex(stop.worker);
+    auto* attempt = m_workers.find(job, stop.task.attempt);
+    const auto rank = static_cast<std::size_t>(stop.task.rank);
+    action confirmation { .at = m_now + killDelay(hashOf(job, stop.task.attempt, stop.task.rank)),
+        .kind = action_kind::ConfirmStop,
+        .index = worker,
+        .job = job,
+        .attempt = stop.task.attempt,
+        .rank = stop.task.rank };
+    const bool isHere = attempt && attempt->tasks.at(rank).worker == worker
+        && attempt->tasks[rank].state != phase::Absent && attempt->tasks[rank].state != phase::Gone;
+    if (!isHere) {
+        confirmation.kind = action_kind::ConfirmUnknownStop;
+        plan(confirmation);
+        return;
+    }
+    auto& task = attempt->tasks[rank];
+    task.isStopOrdered = true;
+    // The end of a task that ended is reported anyway; a dead worker does not answer.
+    if (task.state == phase::Ended || !m_workers.worker(worker).isAlive)
+        return;
+    const bool isRepeated = task.state == phase::Stopping && stop.mode == stop_mode::Checkpoint;
+    if (isRepeated)
+        return;
+    const auto& wanted = m_stream.jobs[job];
+    if (stop.mode == stop_mode::Checkpoint && wanted.spec.checkpointable && attempt->wholeSince && !attempt->isBroken) {
+        confirmation.at = m_now + wanted.checkpointTime;
+        confirmation.isCheckpointed = true;
+    }
+    freeze(*attempt);
+    task.state = phase::Stopping;
+    task.plan = ++m_lastPlan;
+    confirmation.plan = task.plan;
+    plan(confirmation);
+}
+
+void policy_driver::freeze(live_attempt& attempt)
+{
+    if (!attempt.frozenAt)
+        attempt.frozenAt = m_now;
+}
+
+void policy_driver::confirmStart(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    auto* task = findTask(attempt, next.rank, next.plan);
+    if (!task || task->state != phase::Starting || !m_workers.worker(task->worker).isAlive)
+        return;
+    task->state = phase::Running;
+    const bool runsWhole = std::all_of(attempt->tasks.begin(), attempt->tasks.end(),
+        [](const live_task& other) { return other.state == phase::Running; });
+    if (runsWhole && !attempt->frozenAt) {
+        attempt->wholeSince = m_now;
+        auto& record = m_record.jobs[next.job];
+        if (!record.firstStartAt)
+            record.firstStartAt = m_now;
+        auto end = next;
+        end.at = m_now + std::max(m_stream.jobs[next.job].trueRunTime - attempt->base, log_duration { 0 });
+        end.kind = action_kind::EndGang;
+        plan(end);
+        auto usage = next;
+        usage.at = m_now + usageDelay;
+        usage.kind = action_kind::ReportUsage;
+        plan(usage);
+    }
+    const auto& worker = m_stream.workers[task->worker].name;
+    apply(task_started { worker, { *m_ids[next.job], next.attempt, next.rank } });
+}
+
+void policy_driver::failStart(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    auto* task = findTask(attempt, next.rank, next.plan);
+    if (!task || task->state != phase::Starting || !m_workers.worker(task->worker).isAlive)
+        return;
+    const auto& worker = m_stream.workers[task->worker].name;
+    attempt->isBroken = true;
+    freeze(*attempt);
+    removeTask(*attempt, static_cast<std::size_t>(next.rank));
+    apply(task_ended { worker, { *m_ids[next.job], next.attempt, next.rank }, false });
+}
+
+void policy_driver::endGang(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    if (!attempt || !isWhole(*attempt))
+        return;
+    freeze(*attempt);
+    attempt->isComplete = true;
+    m_record.jobs[next.job].completedAt = m_now;
+    m_record.work.useful += workOf(m_stream.jobs[next.job], m_stream.jobs[next.job].trueRunTime);
+    for (std::size_t rank = 0; rank < attempt->tasks.size(); ++rank) {
+        auto& task = attempt->tasks[rank];
+        task.state = phase::Ended;
+        task.plan = ++m_lastPlan;
+        plan({ .at = m_now,
+            .kind = action_kind::EndTask,
+            .job = next.job,
+            .attempt = next.attempt,
+            .rank = static_cast<std::int32_t>(rank),
+            .plan = task.plan });
+    }
+}
+
+void policy_driver::endTask(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    auto* task = findTask(attempt, next.rank, next.plan);
+    if (!task)
+        return;
+    const auto& worker = m_stream.workers[task->worker].name;
+    removeTask(*attempt, static_cast<std::size_t>(next.rank));
+    apply(task_ended { worker, { *m_ids[next.job], next.attempt, next.rank }, true });
+}
+
+void policy_driver::confirmStop(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    auto* task = findTask(attempt, next.rank, next.plan);
+    if (!task || !m_workers.worker(task->worker).isAlive)
+        return;
+    const auto& worker = m_stream.workers[task->worker].name;
+    attempt->checkpointed += next.isCheckpointed ? 1 : 0;
+    removeTask(*attempt, static_cast<std::size_t>(next.rank));
+    apply(task_stopped { worker, { *m_ids[next.job], next.attempt, next.rank }, next.isCheckpointed });
+}
+
+void policy_driver::confirmUnknownStop(const action& next)
+{
+    if (m_workers.worker(next.index).isAlive)
+        apply(task_stopped { m_stream.workers[next.index].name, { *m_ids[next.job], next.attempt, next.rank }, false });
+}
+
+void policy_driver::reportUsage(const action& next)
+{
+    auto* attempt = m_workers.find(next.job, next.attempt);
+    if (!attempt || !isWhole(*attempt))
+        return;
+    // One job in twenty uses more memory than it declared.
+    constexpr std::uint64_t oneIn = 20;
+    auto use = m_stream.jobs[next.job].spec.perTask;
+    if (hashOf(next.job, 0, 0) % oneIn == 0)
+        use.memoryMb = use.memoryMb * 13 / 10;
+    const auto& worker = m_stream.workers[attempt->tasks.front().worker].name;
+    apply(usage_reported { worker, { *m_ids[next.job], next.attempt, 0 }, use, m_now - usageLag });
+}
+
+void policy_driver::removeTask(live_attempt& attempt, std::size_t rank)
+{
+    if (m_workers.removeTask(attempt, rank))
+        closeAttempt(attempt);
+}
+
+void policy_driver::closeAttempt(live_attempt& attempt)
+{
+    const auto& job = m_stream.jobs[attempt.job];
+    const auto progress = progressOf(attempt, m_now);
+    const bool isSaved = attempt.checkpointed == static_cast<std::int32_t>(attempt.tasks.size());
+    const bool isCancelled = job.cancelAt && *job.cancelAt <= m_now;
+    if (!attempt.isComplete) {
+        if (isCancelled)
+            m_record.work.lostByCancel += workOf(job, progress);
+        else if (attempt.isBroken)
+            m_record.work.lostByFault += workOf(job, progress);
+        else if (isSaved)
+            m_saved[attempt.job] = attempt.base + progress;
+        else
+            m_record.work.lostByPreemption += workOf(job, progress);
+        if (!isCancelled && !attempt.isBroken)
+            ++m_record.preemptions;
+    }
+    m_workers.removeAttempt(attempt.job);
+}
+
+void policy_driver::beginFault(std::size_t fault)
+{
+    const auto& begun = m_stream.faults[fault];
+    for (const auto worker : begun.workers) {
+        if (begun.kind == fault_kind::FailsStarts)
+            m_workers.worker(worker).failsStarts = true;
+        else
+            killWorker(worker, begun.until);
+    }
+}
+
+void policy_driver::endFault(std::size_t fault)
+{
+    const auto& ended = m_stream.faults[fault];
+    for (const auto worker : ended.workers) {
+        if (ended.kind == fault_kind::FailsStarts)
+            m_workers.worker(worker).failsStarts = false;
+        else
+            joinWorker(worker);
+    }
+}
+
+void policy_driver::killWorker(std::size_t worker, log_time until)
+{
+    m_workers.worker(worker).isAlive = false;
+    for (auto& [job, attempt] : m_workers.attempts()) {
+        for (const auto& task : attempt.tasks) {
+            if (task.worker != worker || task.state == phase::Gone || attempt.isComplete)
+                continue;
+            attempt.isBroken = true;
+            freeze(attempt);
+        }
+    }
+    const auto sinceRenewal = milliseconds(mixHash(worker, 0, m_lastPlan) % renewalStepMs);
+    const auto expiry = m_now + leaseTerm - sinceRenewal;
+    // A worker that is back before its lease has run out replaces its old incarnation and is never lost.
+    if (expiry < until)
+        plan({ .at = expiry, .kind = action_kind::LeaseExpired, .index = worker });
+}
+
+void policy_driver::joinWorker(std::size_t worker)
+{
+    clearWorker(worker);
+    auto& joined = m_workers.worker(worker);
+    joined.isAlive = true;
+    ++joined.incarnation;
+    m_workers.setKnown(worker, true);
+    const auto& described = m_stream.workers[worker];
+    apply(worker_joined { described.name, joined.incarnation, "rack" + std::to_string(described.rackPosition),
+        described.rackPosition, m_stream.site.workerCapacity, {} });
+}
+
+void policy_driver::loseWorker(std::size_t worker)
+{
+    clearWorker(worker);
+    m_workers.setKnown(worker, false);
+    apply(worker_lost { m_stream.workers[worker].name });
+}
+
+void policy_driver::clearWorker(std::size_t worker)
+{
+    // The attempts are collected first because the removal of the last task of one removes it from the map.
+    std::vector<std::pair<std::size_t, std::int32_t>> hit;
+    for (const auto& [job, attempt] : m_workers.attempts()) {
+        const bool isHit = std::any_of(attempt.tasks.begin(), attempt.tasks.end(), [worker](const live_task& task) {
+            return task.worker == worker && task.state != phase::Absent && task.state != phase::Gone;
+        });
+        if (isHit)
+            hit.emplace_back(job, attempt.attempt);
+    }
+    for (const auto& [job, number] : hit) {
+        plan({ .at = m_now + m_stream.site.policy.startTimeout + wholeCheckGrace,
+            .kind = action_kind::CheckWhole,
+            .job = job,
+            .attempt = number });
+        const auto taskCount = m_workers.find(job, number)->tasks.size();
+        for (std::size_t rank = 0; rank < taskCount; ++rank) {
+            auto* attempt = m_workers.find(job, number);
+            if (attempt && attempt->tasks[rank].worker == worker && attempt->tasks[rank].state != phase::Gone)
+                removeTask(*attempt, rank);
+        }
+    }
+}
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/run_record.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "chervilport/core/log_time.h"
+#include "chervilport/scheduling/job_state.h"
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <vector>
+
+namespace chervilport::policy_benchmark {
+
+/// A scheduler broke a rule that must hold at all times.
+class rule_violation : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// What became of a job of a stream.
+struct job_record {
+    /// Whether the scheduler refused it at submission.
+    bool isRefused = false;
+    /// Last state that the scheduler reported.
+    job_state state = job_state::Queued;
+    /// Number of attempts.
+    std::int32_t attempts = 0;
+    /// When all tasks of an attempt ran for the first time.
+    std::optional<log_time> firstStartAt;
+    /// When its gang had run to its end.
+    std::optional<log_time> completedAt;
+    /// When the scheduler reported a final state or refused it.
+    std::optional<log_time> closedAt;
+    /// Whether at submission all open jobs of its workspace together, itself included, were within the guarantee.
+    bool isCovered = false;
+};
+
+/// Accelerators summed over samples in equal distances of virtual time.
+struct fragmentation_sums {
+    /// Free accelerators.
+    std::int64_t free = 0;
+    /// Free accelerators that gangs of the largest guaranteed shape cannot use.
+    std::int64_t unusable = 0;
+    /// Free accelerators of the samples in which at least one such gang would fit by number.
+    std::int64_t freeWhereOneFits = 0;
+    /// Accelerators of the gangs of that shape that would fit by number and find no place.
+    std::int64_t avoidable = 0;
+    /// Free accelerators, at most as many as the largest gang has.
+    std::int64_t freeUpToLargestGang = 0;
+    /// Accelerators of the largest gang that finds a place.
+    std::int64_t largestGang = 0;
+};
+
+/// Work in accelerator milliseconds.
+struct work_sums {
+    /// Work of completed jobs.
+    std::int64_t useful = 0;
+    /// Work lost because the scheduler stopped an attempt.
+    std::int64_t lostByPreemption = 0;
+    /// Work lost because of a fault.
+    std::int64_t lostByFault = 0;
+    /// Work of cancelled jobs.
+    std::int64_t lostByCancel = 0;
+};
+
+/// Cost of the decisions.
+struct decision_cost {
+    /// Number of events applied.
+    std::int64_t decisions = 0;
+    /// Processor time of all of them.
+    std::int64_t totalNs = 0;
+    /// Longest processor time of one.
+    std::int64_t slowestNs = 0;
+    /// Longest elapsed time of one; includes interruptions by other threads of the machine.
+    std::int64_t slowestElapsedNs = 0;
+    /// Index of the alternative of the slowest event.
+    std::size_t slowestEvent = 0;
+    /// Largest encoded state seen, in bytes.
+    std::int64_t peakStateBytes = 0;
+};
+
+/// Result of playing a stream to a scheduler.
+struct run_record {
+    /// Jobs in the order of the stream.
+    std::vector<job_record> jobs;
+    /// Fragmentation during the period of submissions.
+    fragmentation_sums fragmentation;
+    /// Useful and lost work.
+    work_sums work;
+    /// Cost of the decisions.
+    decision_cost cost;
+    /// Attempts stopped by the scheduler without a fault or a cancellation.
+    std::int64_t preemptions = 0;
+    /// Virtual time at the end.
+    log_time endedAt;
+};
+
+} // namespace chervilport::policy_benchmark
--- /dev/null
+++ b/benchmarks/policy/worker_model.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "benchmarks/policy/event_stream.h"
+#include "benchmarks/policy/fleet_map.h"
+#include "benchmarks/policy/live_attempt.h"
+#include "benchmarks/policy/run_record.h"
+#include "chervilport/scheduling/event.h"
+
+#include <map>
+#include <vector>
+
+namespace chervilport::policy_benchmark {
+
+/// A worker as it really is.
+struct modelled_worker {
+    /// Whether it works.
+    bool isAlive = true;
+    /// Whether the scheduler was told that it joined and not that it was lost.
+    bool isKnown = false;
+    /// Whether it fails all that it starts.
+    bool failsStarts = false;
+    /// Incarnation.
+    std::uint64_t incarnation = 0;
+};
+
+/// Workers with the attempts on them. Checks that no worker is overcommitted, that no job has two live attempts and
+/// that gangs are placed as a whole; throws rule_violation otherwise.
+class worker_model {
+public:
+    /// Creates the workers of a stream, none of them joined.
+    explicit worker_model(const event_stream&);
+
+    /// Returns a worker.
+    modelled_worker& worker(std::size_t index) { return m_workers.at(index); }
+
+    /// Returns the index of a worker. Throws rule_violation if there is none with this name.
+    std::size_t workerIndex(const std::string& name) const;
+
+    /// Returns the live attempt of a job with the given number, or null.
+    live_attempt* find(std::size_t job, std::int32_t attempt);
+
+    /// Adds a task; returns null if the same task is already there. `base` is the work to continue from.
+    live_task* addTask(std::size_t job, const reported_task&, std::size_t worker, log_duration base);
+
+    /// Checks that an attempt whose start was just ordered has all its tasks and the required closeness.
+    void checkPlacement(std::size_t job, std::int32_t attempt) const;
+
+    /// Checks that an attempt is whole, or over, or ordered to stop.
+    void checkWhole(std::size_t job, std::int32_t attempt) const;
+
+    /// Frees the capacity of a task. Returns whether it was the last one of its attempt.
+    bool removeTask(live_attempt&, std::size_t rank);
+
+    /// Forgets an attempt without tasks.
+    void removeAttempt(std::size_t job) { m_attempts.erase(job); }
+
+    /// Returns the live attempts by job.
+    std::map<std::size_t, live_attempt>& attempts() { return m_attempts; }
+
+    /// Changes what the scheduler may use of a worker when it joins or is lost.
+    void setKnown(std::size_t worker, bool isKnown);
+
+    /// Returns the free capacity of the known workers.
+    const fleet_map& freeCapacity() const { return m_free; }
+
+private:
+    [[noreturn]] void fail(std::size_t job, std::int32_t attempt, const std::string& what) const;
+
+    const event_stream& m_stream;
+    std::vector<modelled_worker> m_workers;
+    std::map<std::string, std::size_t> m_workerIndex;
+    std::map<std::size_t, live_attempt> m_attempts;
+    std::vector<std::int32_t> m_lastAttempt;
+    fleet_map m_free;
+};
+
+} // namespace chervilport::policy_benchmark
