--- a/benchmarks/policy/fault_generator.cpp
+++ b/benchmarks/policy/fault_generator.cpp
@@ -33,10 +33,12 @@
         faults.push_back(std::move(fault));
     }
 
-    log_time drawTime(const event_stream& stream, std::int64_t fromPercent, std::int64_t toPercent, random_source& random)
+    log_time drawTime(
+        const event_stream& stream, std::int64_t fromPercent, std::int64_t toPercent, random_source& random)
     {
         const auto period = stream.endOfSubmissions.time_since_epoch();
-        return log_time(log_duration(random.between(period.count() * fromPercent / 100, period.count() * toPercent / 100)));
+        return log_time(
+            log_duration(random.between(period.count() * fromPercent / 100, period.count() * toPercent / 100)));
     }
 
     stream_fault domainOutage(const event_stream& stream, random_source& random)
@@ -69,7 +71,8 @@
         fault.workers = { static_cast<std::size_t>(random.below(static_cast<std::int64_t>(stream.workers.size()))) };
         fault.from = drawTime(stream, 1, 99, random);
         fault.until = fault.from
-            + (random.chance(333) ? log_duration(seconds(random.between(4, 8))) : log_duration(minutes(random.between(10, 180))));
+            + (random.chance(333) ? log_duration(seconds(random.between(4, 8)))
+                                  : log_duration(minutes(random.between(10, 180))));
         return fault;
     }
 
--- a/benchmarks/policy/fifo_queue.cpp
+++ b/benchmarks/policy/fifo_queue.cpp
@@ -74,8 +74,8 @@
 
     // A later job may start if it is expected to be over at the time of the reservation, or if the first job still
     // fits then.
-    bool delaysHead(const head_reservation& reservation, const fifo_job& job, std::span<const std::size_t> workers,
-        log_time now)
+    bool delaysHead(
+        const head_reservation& reservation, const fifo_job& job, std::span<const std::size_t> workers, log_time now)
     {
         if (now + job.spec.declaredRunTime <= reservation.at)
             return false;
--- a/benchmarks/policy/fragmentation.cpp
+++ b/benchmarks/policy/fragmentation.cpp
@@ -35,8 +35,8 @@
     // Place one gang that is as large as possible.
     const std::int64_t limit = static_cast<std::int64_t>(largestGangTasks) * largest.perTask.accelerators;
     sums.freeUpToLargestGang += std::min(freeAccelerators, limit);
-    sums.largestGang += static_cast<std::int64_t>(largestPlaceable(free, demand, largestGangTasks))
-        * largest.perTask.accelerators;
+    sums.largestGang
+        += static_cast<std::int64_t>(largestPlaceable(free, demand, largestGangTasks)) * largest.perTask.accelerators;
 }
 
 } // namespace chervilport::policy_benchmark
--- a/benchmarks/policy/lower_bound.cpp
+++ b/benchmarks/policy/lower_bound.cpp
@@ -42,6 +42,7 @@
         using entry = std::pair<double, std::size_t>;
         std::priority_queue<entry, std::vector<entry>, std::greater<>> ready;
         std::vector<double> rest;
+        rest.reserve(jobs.size());
         for (const auto& job : jobs)
             rest.push_back(job.fleetTime);
         double sum = 0;
--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <cstdio>
 #include <exception>
 #include <getopt.h>
@@ -35,9 +36,10 @@
 
 arguments parse(int count, char** values)
 {
-    const option options[] = { { "seed", required_argument, nullptr, 's' }, { "profile", required_argument, nullptr, 'p' },
-        { "load", required_argument, nullptr, 'l' }, { "scheduler", required_argument, nullptr, 'c' },
-        { "threads", required_argument, nullptr, 't' }, { "output", required_argument, nullptr, 'o' }, {} };
+    const option options[]
+        = { { "seed", required_argument, nullptr, 's' }, { "profile", required_argument, nullptr, 'p' },
+              { "load", required_argument, nullptr, 'l' }, { "scheduler", required_argument, nullptr, 'c' },
+              { "threads", required_argument, nullptr, 't' }, { "output", required_argument, nullptr, 'o' }, {} };
     arguments parsed;
     for (int chosen = 0; (chosen = getopt_long(count, values, "", options, nullptr)) != -1;) {
         switch (chosen) {
@@ -48,7 +50,7 @@
             parsed.profile = optarg;
             break;
         case 'l':
-            parsed.loads = { static_cast<std::int32_t>(std::stod(optarg) * 1000 + 0.5) };
+            parsed.loads = { static_cast<std::int32_t>(std::lround(std::stod(optarg) * 1000)) };
             break;
         case 'c':
             parsed.schedulers = { optarg };
@@ -112,8 +114,9 @@
         for (std::size_t stream = 0; stream < all.size(); ++stream)
             work.emplace_back(stream, scheduler);
     }
-    std::stable_sort(work.begin(), work.end(),
-        [&](const auto& a, const auto& b) { return all[a.first].stream.workers.size() > all[b.first].stream.workers.size(); });
+    std::stable_sort(work.begin(), work.end(), [&](const auto& a, const auto& b) {
+        return all[a.first].stream.workers.size() > all[b.first].stream.workers.size();
+    });
     std::atomic<std::size_t> next = 0;
     std::vector<std::jthread> threads;
     for (std::size_t i = 0; i < chosen.threads; ++i) {
--- a/benchmarks/policy/measures.cpp
+++ b/benchmarks/policy/measures.cpp
@@ -154,8 +154,8 @@
             if (isCompletedByAll(records, i))
                 common.push_back(completion);
             toEnd.push_back(outcome.completedAt ? completion : secondsOf(record.endedAt - job.submittedAt));
-            const bool isRejected = outcome.isRefused || outcome.state == job_state::Failed
-                || outcome.state == job_state::Infeasible;
+            const bool isRejected
+                = outcome.isRefused || outcome.state == job_state::Failed || outcome.state == job_state::Infeasible;
             measures.wronglyRejected += isRejected ? 1 : 0;
             measures.expired += outcome.state == job_state::Expired ? 1 : 0;
             measures.open += outcome.closedAt ? 0 : 1;
@@ -180,6 +180,7 @@
 {
     const auto longest = longestCompletions(stream, records);
     std::vector<run_measures> measures;
+    measures.reserve(records.size());
     for (const auto* record : records)
         measures.push_back(measureRun(stream, records, *record, longest));
     return measures;
--- a/benchmarks/policy/policy_driver.cpp
+++ b/benchmarks/policy/policy_driver.cpp
@@ -43,8 +43,8 @@
     m_record.jobs.resize(stream.jobs.size());
     for (const auto& workspace : stream.site.workspaces) {
         for (const auto& guaranteed : workspace.guarantee)
-            m_guaranteed[workspace.name] += static_cast<std::int64_t>(guaranteed.count) * guaranteed.taskCount
-                * guaranteed.perTask.accelerators;
+            m_guaranteed[workspace.name]
+                += static_cast<std::int64_t>(guaranteed.count) * guaranteed.taskCount * guaranteed.perTask.accelerators;
     }
 }
 
@@ -147,8 +147,8 @@
     const auto before = threadTimeNs();
     const auto commands = m_scheduler.apply(input, m_now);
     const auto spent = threadTimeNs() - before;
-    const auto elapsed = std::chrono::duration_cast<std::chrono::nanoseconds>(
-        std::chrono::steady_clock::now() - elapsedBefore);
+    const auto elapsed
+        = std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now() - elapsedBefore);
     auto& cost = m_record.cost;
     ++cost.decisions;
     cost.totalNs += spent;
--- a/benchmarks/policy/profile.cpp
+++ b/benchmarks/policy/profile.cpp
@@ -21,8 +21,7 @@
                     makeShape(8, 1, perTask, adjacency::Any) } });
         }
         workspaces.push_back({ .name = "operations",
-            .guarantee
-            = { makeShape(1, 32, perTask, closeness), makeShape(16, 1, perTask, adjacency::Any) } });
+            .guarantee = { makeShape(1, 32, perTask, closeness), makeShape(16, 1, perTask, adjacency::Any) } });
         workspaces.push_back({ .name = "analysis",
             .guarantee = { makeShape(2, 16, perTask, adjacency::Rack), makeShape(16, 1, perTask, adjacency::Any) } });
         return workspaces;
@@ -71,15 +70,16 @@
         profile site { .name = "fleet" };
         site.workers = 540;
         site.workerCapacity = { .accelerators = 8, .millicores = 60'000, .memoryMb = 256 * 1024 };
-        site.days = 2;
-        site.jobsPerDay = 610;
+        site.days = 4;
+        // With the bursts before the cancel waves, 610 a day.
+        site.jobsPerDay = 565;
         site.categoryWeights = { 25, 35, 18, 7, 15 };
-        site.acceleratorWeights = { 50, 35, 15 };
+        site.acceleratorWeights = { 35, 50, 15 };
         for (std::int32_t i = 0; i < workspaceCount; ++i) {
             workspace_config workspace { .name = "workspace" + std::to_string(i) };
-            workspace.guarantee = { makeShape(2, 64, perTask, adjacency::AdjacentRacks),
-                makeShape(4, 16, perTask, adjacency::Rack), makeShape(5, 8, perTask, adjacency::Worker),
-                makeShape(8, 1, perTask, adjacency::Any) };
+            workspace.guarantee
+                = { makeShape(2, 64, perTask, adjacency::AdjacentRacks), makeShape(4, 16, perTask, adjacency::Rack),
+                      makeShape(5, 8, perTask, adjacency::Worker), makeShape(8, 1, perTask, adjacency::Any) };
             for (std::int32_t team = 0; team < teamsPerWorkspace; ++team)
                 workspace.teams.push_back({ .team = "team" + std::to_string(team), .maxAccelerators = teamQuota });
             site.workspaces.push_back(workspace);
@@ -100,8 +100,7 @@
     shape largest { .taskCount = 0 };
     for (const auto& workspace : site.workspaces) {
         for (const auto& candidate : workspace.guarantee) {
-            if (candidate.taskCount * candidate.perTask.accelerators
-                > largest.taskCount * largest.perTask.accelerators)
+            if (candidate.taskCount * candidate.perTask.accelerators > largest.taskCount * largest.perTask.accelerators)
                 largest = candidate;
         }
     }
--- a/benchmarks/policy/report.cpp
+++ b/benchmarks/policy/report.cpp
@@ -100,7 +100,8 @@
         std::printf("%s, load %.1f, seed %llu\n", row.profile.c_str(), row.loadPermille / 1000.0,
             static_cast<unsigned long long>(row.seed));
         if (fifo && row.loadPermille == 900)
-            printTarget("mean completion over strict FIFO", row.measures.all.meanS / fifo->measures.all.meanS, "<=", 0.5);
+            printTarget(
+                "mean completion over strict FIFO", row.measures.all.meanS / fifo->measures.all.meanS, "<=", 0.5);
         if (backfill)
             printTarget("p95 wait of large gangs over backfill",
                 row.measures.p95LargeGangWaitS / std::max(backfill->measures.p95LargeGangWaitS, 1.0), "<=", 0.5);
@@ -138,7 +139,8 @@
         "slow_ms", "exp", "open");
     for (const auto& row : rows) {
         const auto& measures = row.measures;
-        std::printf("%-10s %4.1f %5llu %-15s %8.0f %8.0f %9.0f %6.3f %6.3f %6.3f %6.2f %8.1f %8.1f %7.0f %7.1f %5lld %5lld\n",
+        std::printf(
+            "%-10s %4.1f %5llu %-15s %8.0f %8.0f %9.0f %6.3f %6.3f %6.3f %6.2f %8.1f %8.1f %7.0f %7.1f %5lld %5lld\n",
             row.profile.c_str(), row.loadPermille / 1000.0, static_cast<unsigned long long>(row.seed),
             row.scheduler.c_str(), measures.all.meanS, measures.all.p95S, measures.p95LargeGangWaitS,
             hitShare(measures.all), measures.fragmentation, measures.unusableFreeShare, measures.lowerBoundRatio,
--- a/benchmarks/policy/stream_generator.cpp
+++ b/benchmarks/policy/stream_generator.cpp
@@ -1,6 +1,7 @@
 #include "benchmarks/policy/stream_generator.h"
 
 #include "benchmarks/policy/fault_generator.h"
+#include "benchmarks/policy/fleet_map.h"
 #include "benchmarks/policy/random_source.h"
 
 #include <algorithm>
@@ -115,6 +116,16 @@
         return category == job_category::Batch ? job_class::Batch : job_class::Standard;
     }
 
+    // Drops a closeness that not even empty workers or racks could give to the gang.
+    void relaxPlacement(const profile& site, job_spec& spec)
+    {
+        const auto perWorker = tasksThatFit(site.workerCapacity, spec.perTask);
+        if (spec.placement == adjacency::Worker && spec.taskCount > perWorker)
+            spec.placement = adjacency::Any;
+        if (spec.placement == adjacency::Rack && spec.taskCount > perWorker * site.workersPerRack)
+            spec.placement = adjacency::AdjacentRacks;
+    }
+
     stream_job drawJob(const profile& site, job_category category, log_time submittedAt, random_source& random)
     {
         stream_job job { .category = category, .submittedAt = submittedAt };
@@ -123,19 +134,19 @@
         spec.workspace = workspace.name;
         if (!workspace.teams.empty())
             spec.team = workspace.teams.at(random.below(static_cast<std::int64_t>(workspace.teams.size()))).team;
-        spec.kind = std::string(categoryNames.at(static_cast<std::size_t>(category))) + (random.chance(500) ? "_a" : "_b");
+        spec.kind
+            = std::string(categoryNames.at(static_cast<std::size_t>(category))) + (random.chance(500) ? "_a" : "_b");
         spec.jobClass = classOf(category);
         spec.taskCount = drawTaskCount(category, random);
         spec.perTask = drawDemand(site, category, random);
         spec.placement = drawPlacement(category, spec.taskCount, random);
         spec.preemptible = category != job_category::Urgent && !(category == job_category::Small && random.chance(100));
         spec.checkpointable = random.chance(checkpointablePermille(category));
-        // A task on one worker must fit one: with 120 % of the share of cores, six accelerators do.
-        if (spec.placement == adjacency::Worker && spec.taskCount * spec.perTask.accelerators > 6)
-            spec.placement = adjacency::Any;
+        relaxPlacement(site, spec);
         const auto [shortest, longest] = runTimeRange(category);
         job.trueRunTime = log_duration(random.between(log_duration(shortest).count(), log_duration(longest).count()));
-        job.checkpointTime = std::chrono::milliseconds(random.chance(800) ? random.between(500, 1800) : random.between(2000, 4000));
+        job.checkpointTime
+            = std::chrono::milliseconds(random.chance(800) ? random.between(500, 1800) : random.between(2000, 4000));
         return job;
     }
 
@@ -197,9 +208,13 @@
         }
     }
 
+    // Work that a job brings: up to its end, or up to its cancellation if it starts at once.
     std::int64_t workOf(const stream_job& job)
     {
-        return acceleratorsOf(job.spec) * std::chrono::duration_cast<std::chrono::milliseconds>(job.trueRunTime).count();
+        if (!job.canRun)
+            return 0;
+        const auto time = job.cancelAt ? std::min(job.trueRunTime, *job.cancelAt - job.submittedAt) : job.trueRunTime;
+        return acceleratorsOf(job.spec) * std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     }
 
     // Multiplies the run times by one factor, so that the offered work is the wanted share of the capacity.
@@ -208,7 +223,7 @@
         const auto& site = stream.site;
         std::int64_t offered = 0;
         for (const auto& job : stream.jobs)
-            offered += isMeasured(job) ? workOf(job) : 0;
+            offered += workOf(job);
         const auto periodMs = std::chrono::duration_cast<std::chrono::milliseconds>(day * site.days).count();
         const auto capacity = periodMs * site.workers * site.workerCapacity.accelerators;
         const auto wanted = capacity / 1000 * stream.loadPermille;
@@ -222,7 +237,8 @@
     void declareRunTime(const event_stream& stream, stream_job& job, random_source& random)
     {
         constexpr std::array<std::int64_t, 4> biasPercent { 33, 100, 100, 220 };
-        const auto workspaceNumber = static_cast<std::uint64_t>(job.spec.workspace.front()) * 31 + job.spec.workspace.back();
+        const auto workspaceNumber
+            = static_cast<std::uint64_t>(job.spec.workspace.front()) * 31 + job.spec.workspace.back();
         const auto kindNumber = static_cast<std::uint64_t>(job.category) * 2 + (job.spec.kind.back() == 'a' ? 1 : 0);
         const auto bias = biasPercent.at(mixHash(stream.seed, workspaceNumber, kindNumber) % biasPercent.size());
         std::int64_t ownPercent = random.between(80, 125);
@@ -282,10 +298,14 @@
     for (std::int32_t i = 0; i < site.workers; ++i)
         stream.workers.push_back({ .name = "worker" + std::to_string(i), .rackPosition = i / site.workersPerRack });
 
+    std::uint64_t siteNumber = 0;
+    for (const auto letter : site.name)
+        siteNumber = mixHash(siteNumber, static_cast<std::uint64_t>(letter), 0);
+
     // Faults and jobs are drawn from separate sources, so that a change to one leaves the other as it was.
-    random_source faultRandom(mixHash(seed, 1, static_cast<std::uint64_t>(loadPermille)));
+    random_source faultRandom(mixHash(siteNumber, seed, 2 * static_cast<std::uint64_t>(loadPermille)));
     stream.faults = generateFaults(stream, faultRandom);
-    random_source jobRandom(mixHash(seed, 2, static_cast<std::uint64_t>(loadPermille)));
+    random_source jobRandom(mixHash(siteNumber, seed, 2 * static_cast<std::uint64_t>(loadPermille) + 1));
     addJobs(stream, jobRandom);
     scaleRunTimes(stream);
     finishJobs(stream, jobRandom);
--- a/benchmarks/policy/worker_model.cpp
+++ b/benchmarks/policy/worker_model.cpp
@@ -19,7 +19,8 @@
 
 void worker_model::fail(std::size_t job, std::int32_t attempt, const std::string& what) const
 {
-    throw rule_violation("job " + std::to_string(job) + " of the stream, attempt " + std::to_string(attempt) + ": " + what);
+    throw rule_violation(
+        "job " + std::to_string(job) + " of the stream, attempt " + std::to_string(attempt) + ": " + what);
 }
 
 std::size_t worker_model::workerIndex(const std::string& name) const
@@ -36,8 +37,7 @@
     return found != m_attempts.end() && found->second.attempt == attempt ? &found->second : nullptr;
 }
 
-live_task* worker_model::addTask(
-    std::size_t job, const reported_task& task, std::size_t worker, log_duration base)
+live_task* worker_model::addTask(std::size_t job, const reported_task& task, std::size_t worker, log_duration base)
 {
     const auto& spec = m_stream.jobs.at(job).spec;
     auto found = m_attempts.find(job);
