Run a gang job whole through real processes

Cause: the parts were joined for the first time. Change: instance, decision core, log and transport in one build; a table of views over a temporary crashed 'instance status'; a planned stop of a single voter no longer waits 2 s for a successor that cannot exist.

--- a/apps/chervilport/status_commands.cpp
+++ b/apps/chervilport/status_commands.cpp
@@ -20,7 +20,8 @@
         return 0;
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& [path, value] : answer.flatten().items())
+    const auto members = answer.flatten();
+    for (const auto& [path, value] : members.items())
         rows.push_back({ path.substr(1), value.is_string() ? value.get<std::string>() : value.dump() });
     printTable(std::cout, rows);
     return 0;
--- a/chervilport/instance/control_api.cpp
+++ b/chervilport/instance/control_api.cpp
@@ -79,7 +79,7 @@
 {
 }
 
-void control_api::handle(std::shared_ptr<control_call> call)
+void control_api::handle(const std::shared_ptr<control_call>& call)
 {
     try {
         serve(call);
--- a/chervilport/instance/control_api.h
+++ b/chervilport/instance/control_api.h
@@ -43,7 +43,7 @@
         std::shared_ptr<job_controller>, std::shared_ptr<worker_controller>, control_api_hooks);
 
     /// Answers a call exactly once.
-    void handle(std::shared_ptr<control_call>);
+    void handle(const std::shared_ptr<control_call>&);
 
 private:
     void serve(const std::shared_ptr<control_call>&);
--- a/chervilport/instance/control_plane.cpp
+++ b/chervilport/instance/control_plane.cpp
@@ -5,8 +5,9 @@
 #include "chervilport/instance/control_api.h"
 #include "chervilport/instance/domain_controller.h"
 #include "chervilport/instance/job_controller.h"
+#include "chervilport/instance/job_json.h"
 #include "chervilport/instance/monotonic_now.h"
-#include "chervilport/instance/peer_link.h"
+#include "chervilport/instance/peer_network.h"
 #include "chervilport/instance/replica_group.h"
 #include "chervilport/instance/worker_controller.h"
 #include "chervilport/logging/log.h"
@@ -81,7 +82,7 @@
     control_plane_hooks hooks;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
-    std::shared_ptr<peer_link> peers;
+    std::shared_ptr<peer_network> peers;
     std::shared_ptr<replica_group> group;
     std::shared_ptr<domain_controller> domain;
     std::shared_ptr<worker_controller> workers;
@@ -112,8 +113,9 @@
 void control_plane::prepareStop(std::chrono::milliseconds longest, std::function<void()> done)
 {
     asio::post(m_implementation->context, [self = m_implementation, longest, done = std::move(done)]() mutable {
-        self->group->transferLeadership();
-        self->pollStop(monotonicNow() + longest, std::move(done));
+        // A single voter has nobody to hand over to.
+        const bool transfers = self->group->transferLeadership();
+        self->pollStop(transfers ? monotonicNow() + longest : monotonicNow(), std::move(done));
     });
 }
 
@@ -213,7 +215,7 @@
     if (values.instances.size() < 2)
         return;
     const std::weak_ptr<implementation> weak = weak_from_this();
-    peer_link_hooks linkHooks;
+    peer_network_hooks linkHooks;
     linkHooks.receive = [weak](replication_scope scope, const message& received) {
         if (const auto self = weak.lock(); self && scope == replication_scope::Domain)
             self->group->receive(received);
@@ -224,7 +226,7 @@
         if (const auto self = weak.lock())
             self->api->handle(call);
     };
-    peers = std::make_shared<peer_link>(context, values, group->self().incarnation, std::move(linkHooks));
+    peers = std::make_shared<peer_network>(context, values, group->self().incarnation, std::move(linkHooks));
 }
 
 void control_plane::implementation::observe(std::span<const command> commands) const
@@ -234,8 +236,7 @@
             logInfo("jobs",
                 "job " + values.failureDomain + "-" + std::to_string(static_cast<std::uint64_t>(changed->job))
                     + " attempt " + std::to_string(changed->attempt) + " is now in state "
-                    + std::to_string(static_cast<int>(changed->state))
-                    + (changed->reason.empty() ? "" : ": " + changed->reason));
+                    + std::string(toString(changed->state)) + (changed->reason.empty() ? "" : ": " + changed->reason));
         }
     }
 }
--- a/chervilport/instance/domain_controller.cpp
+++ b/chervilport/instance/domain_controller.cpp
@@ -39,7 +39,7 @@
 
 domain_controller::~domain_controller() = default;
 
-void domain_controller::attach(std::shared_ptr<replica_group> group) { m_group = group; }
+void domain_controller::attach(const std::shared_ptr<replica_group>& group) { m_group = group; }
 
 void domain_controller::apply(std::string_view payload)
 {
--- a/chervilport/instance/domain_controller.h
+++ b/chervilport/instance/domain_controller.h
@@ -40,7 +40,7 @@
     ~domain_controller();
 
     /// Connects the controller to its log; the group must not be started yet.
-    void attach(std::shared_ptr<replica_group>);
+    void attach(const std::shared_ptr<replica_group>&);
 
     /// Applies a committed command.
     void apply(std::string_view payload);
--- a/chervilport/instance/peer_link.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -1,4 +1,4 @@
-#include "chervilport/instance/peer_link.h"
+#include "chervilport/instance/peer_network.h"
 
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/read_secret.h"
@@ -74,8 +74,8 @@
 
 } // namespace
 
-struct peer_link::implementation {
-    implementation(asio::io_context& given, const settings& givenSettings, peer_link_hooks givenHooks)
+struct peer_network::implementation {
+    implementation(asio::io_context& given, const settings& givenSettings, peer_network_hooks givenHooks)
         : context(given)
         , values(givenSettings)
         , hooks(std::move(givenHooks))
@@ -84,13 +84,13 @@
 
     asio::io_context& context;
     settings values;
-    peer_link_hooks hooks;
+    peer_network_hooks hooks;
     std::unique_ptr<peer_transport> transport;
     std::uint64_t configurationVersion = 0;
 };
 
-peer_link::peer_link(
-    asio::io_context& context, const settings& values, std::uint64_t incarnation, peer_link_hooks hooks)
+peer_network::peer_network(
+    asio::io_context& context, const settings& values, std::uint64_t incarnation, peer_network_hooks hooks)
     : m_implementation(std::make_unique<implementation>(context, values, std::move(hooks)))
 {
     transport_identity identity { values.clusterId, readSecret(values.secretFile),
@@ -122,9 +122,9 @@
     self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks));
 }
 
-peer_link::~peer_link() { stop(); }
+peer_network::~peer_network() { stop(); }
 
-void peer_link::start()
+void peer_network::start()
 {
     const auto& values = m_implementation->values;
     std::vector<peer_address> peers;
@@ -138,20 +138,22 @@
     m_implementation->transport->start(own.ip, own.port, std::move(peers));
 }
 
-void peer_link::stop() { m_implementation->transport->stop(); }
+void peer_network::stop() { m_implementation->transport->stop(); }
 
-void peer_link::send(replication_scope scope, std::vector<message> messages)
+void peer_network::send(replication_scope scope, std::vector<message> messages)
 {
     std::map<member_id, envelope> envelopes;
-    for (auto& each : messages)
-        envelopes[each.to].messages.push_back({ scope, std::move(each) });
+    for (auto& each : messages) {
+        auto& sent = envelopes[each.to];
+        sent.messages.push_back({ scope, std::move(each) });
+    }
     for (auto& [peer, each] : envelopes) {
         each.configurationVersion = m_implementation->configurationVersion;
         m_implementation->transport->send(peer, std::move(each));
     }
 }
 
-void peer_link::notify(std::span<const std::uint64_t> instances, const std::string& notice)
+void peer_network::notify(std::span<const std::uint64_t> instances, const std::string& notice)
 {
     for (const auto instance : instances) {
         envelope sent;
@@ -161,7 +163,7 @@
     }
 }
 
-void peer_link::forward(std::uint64_t instance, const control_call& call, std::function<void(forward_outcome)> done)
+void peer_network::forward(std::uint64_t instance, const control_call& call, std::function<void(forward_outcome)> done)
 {
     auto& context = m_implementation->context;
     m_implementation->transport->forward(static_cast<member_id>(instance), toForwardCall(call),
@@ -170,13 +172,13 @@
         });
 }
 
-void peer_link::publishConfiguration(std::uint64_t version, std::string content)
+void peer_network::publishConfiguration(std::uint64_t version, std::string content)
 {
     m_implementation->configurationVersion = version;
     m_implementation->transport->publishConfiguration({ version, std::move(content) });
 }
 
-void peer_link::fetchConfiguration(
+void peer_network::fetchConfiguration(
     std::uint64_t instance, std::uint64_t known, std::function<void(std::uint64_t version, std::string content)> done)
 {
     auto& context = m_implementation->context;
@@ -188,6 +190,6 @@
         });
 }
 
-transport_counters peer_link::counters() const { return m_implementation->transport->counters(); }
+transport_counters peer_network::counters() const { return m_implementation->transport->counters(); }
 
 } // namespace chervilport
--- a/chervilport/instance/peer_link.h
+++ b/chervilport/instance/peer_network.h
@@ -21,7 +21,7 @@
 namespace chervilport {
 
 /// What the link to the other instances passes on; called on the control thread.
-struct peer_link_hooks {
+struct peer_network_hooks {
     /// Takes a replication message.
     std::function<void(replication_scope, const message&)> receive;
     /// Takes a notice.
@@ -33,11 +33,11 @@
 };
 
 /// The link of the control thread to the other instances over peer_transport. All functions are called on that thread.
-class peer_link : public std::enable_shared_from_this<peer_link> {
+class peer_network : public std::enable_shared_from_this<peer_network> {
 public:
     /// Creates a link that is not started.
-    peer_link(asio::io_context&, const settings&, std::uint64_t incarnation, peer_link_hooks);
-    ~peer_link();
+    peer_network(asio::io_context&, const settings&, std::uint64_t incarnation, peer_network_hooks);
+    ~peer_network();
 
     /// Starts to listen and to connect to the instances of the settings. Throws chervilport_error.
     void start();
--- a/chervilport/instance/replica_group.cpp
+++ b/chervilport/instance/replica_group.cpp
@@ -104,13 +104,14 @@
     process(std::move(output));
 }
 
-void replica_group::transferLeadership()
+bool replica_group::transferLeadership()
 {
     if (!m_replica || m_failed)
-        return;
+        return false;
     replica_output output;
-    if (chervilport::transferLeadership(*m_replica, monotonicNow(), output))
-        process(std::move(output));
+    const bool begun = chervilport::transferLeadership(*m_replica, monotonicNow(), output);
+    process(std::move(output));
+    return begun;
 }
 
 bool replica_group::changeMember(const member& changed, bool asVoter)
--- a/chervilport/instance/replica_group.h
+++ b/chervilport/instance/replica_group.h
@@ -59,8 +59,8 @@
     /// Appends a command; the callback gets NotCommitted at once when this member is not the leader.
     void propose(std::string payload, proposal_callback);
 
-    /// Hands leadership to another member, if there is one.
-    void transferLeadership();
+    /// Hands leadership to another member. Returns false when this is no leader or there is no such member.
+    bool transferLeadership();
 
     /// Adds or replaces a member, as voter or as learner. Returns whether the change was appended.
     bool changeMember(const member&, bool asVoter);
--- a/chervilport/scheduling/field_lists.h
+++ b/chervilport/scheduling/field_lists.h
@@ -151,6 +151,7 @@
     visitFields(archive, value.team);
     visitFields(archive, value.kind);
     visitFields(archive, value.clientKey);
+    visitFields(archive, value.payload);
     visitFields(archive, value.jobClass);
     visitFields(archive, value.taskCount);
     visitFields(archive, value.perTask);
--- a/chervilport/scheduling/worker_events.cpp
+++ b/chervilport/scheduling/worker_events.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    std::optional<std::int32_t> findWorker(const schedule_state& state, std::string_view name)
+    std::optional<std::int32_t> workerIndex(const schedule_state& state, std::string_view name)
     {
         const auto found = state.workerByName.find(name);
         return found == state.workerByName.end() ? std::nullopt : std::optional(found->second);
@@ -79,7 +79,7 @@
 
 bool handleEvent(schedule_state& state, const worker_joined& joined, std::vector<command>& out)
 {
-    const auto known = findWorker(state, joined.worker);
+    const auto known = workerIndex(state, joined.worker);
     const auto index = known ? *known : addWorker(state, joined.worker);
     const auto before = state.workers[index];
     const auto live = before.state == worker_state::Ready || before.state == worker_state::Leaving;
@@ -104,7 +104,7 @@
 
 bool handleEvent(schedule_state& state, const worker_leaving& leaving, std::vector<command>& out)
 {
-    const auto index = findWorker(state, leaving.worker);
+    const auto index = workerIndex(state, leaving.worker);
     if (!index || state.workers[*index].state != worker_state::Ready)
         return false;
     state.workers[*index].state = worker_state::Leaving;
@@ -115,7 +115,7 @@
 
 bool handleEvent(schedule_state& state, const worker_lost& lost, std::vector<command>& out)
 {
-    const auto index = findWorker(state, lost.worker);
+    const auto index = workerIndex(state, lost.worker);
     if (!index)
         return false;
     auto& worker = state.workers[*index];
