Test the replicated log under faults, and add the operator restore

Cause: groups of several members were untested, and a group of which only one disk is left had no way back. Change: a fake group with a virtual clock that checks the safety properties at every step; directed tests, random histories with RapidCheck and a bounded search over all orders of a few messages, elections and crashes. `restoreFromDisk` restores a group from one disk and reports what may be missing. The first leader writes the initial membership into the log, because the restore and joining members need it there. A voter whose removal is uncommitted may stand: a history found a group of which that one alone could win.

--- a/chervilport/consensus/election.cpp
+++ b/chervilport/consensus/election.cpp
@@ -30,6 +30,18 @@
         return state.now < state.leaderContact + state.config.electionTimeout;
     }
 
+    /// Whether a rule holds for the members in force or for earlier ones that a rollback may bring back.
+    template <typename Rule> bool holdsForAnyPossible(const replica& state, Rule rule)
+    {
+        for (auto record = state.memberships.rbegin(); record != state.memberships.rend(); ++record) {
+            if (rule(record->members, state.config.self))
+                return true;
+            if (record->index <= state.commitIndex)
+                return false;
+        }
+        return false;
+    }
+
     bool hasWon(const replica& state)
     {
         const auto& voters = membersOf(state).voters;
@@ -104,7 +116,8 @@
 
 void startElection(replica& state, election_cause cause, replica_output& output)
 {
-    if (!isVoter(membersOf(state), state.config.self)) {
+    // A voter whose removal is not committed may hold the longest log and then is the only one that can win.
+    if (!holdsForAnyPossible(state, isVoter)) {
         resetElectionDeadline(state);
         return;
     }
@@ -114,7 +127,7 @@
 void handleVoteRequest(replica& state, const message& received, const vote_request& request, replica_output& output)
 {
     // A member that is not admitted under its present incarnation may have forgotten a vote.
-    if (!isListed(membersOf(state), state.config.self))
+    if (!holdsForAnyPossible(state, isListed))
         return;
     if (received.term < state.hard.term) {
         send(state, output, received.from, state.hard.term, vote_response { request.preVote, false });
--- a/chervilport/consensus/leadership.cpp
+++ b/chervilport/consensus/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "chervilport/consensus/election.h"
 #include "chervilport/consensus/membership_change.h"
+#include "chervilport/consensus/membership_codec.h"
 #include "chervilport/consensus/membership_rules.h"
 #include "chervilport/consensus/replica_state.h"
 #include "chervilport/consensus/replication.h"
@@ -54,7 +55,11 @@
     startRound(state);
     updatePeers(state);
     state.termStartIndex = lastIndex(state.log) + 1;
-    appendOwn(state, entry_kind::Noop, {}, output);
+    // The initial membership is in the settings only; the log has to hold it for members that join and for a restore.
+    if (membershipIndexOf(state) == 0)
+        appendOwn(state, entry_kind::Membership, encodeMembership(membersOf(state)), output);
+    else
+        appendOwn(state, entry_kind::Noop, {}, output);
     sendToAll(state, output);
 }
 
--- /dev/null
+++ b/chervilport/consensus/restored_group.cpp
@@ -0,0 +1,58 @@
+#include "chervilport/consensus/restored_group.h"
+
+#include "chervilport/consensus/entry_log.h"
+#include "chervilport/consensus/membership_codec.h"
+#include "chervilport/consensus/membership_rules.h"
+#include "chervilport/core/chervilport_error.h"
+
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Terms skipped by a restore, more than the lost members can have used without the survivor, so that a late
+    /// message of theirs is always outdated.
+    constexpr std::uint64_t restoreTermStep = 1'000'000;
+
+    membership lastMembership(const persisted_state& stored)
+    {
+        for (auto entry = stored.entries.rbegin(); entry != stored.entries.rend(); ++entry) {
+            if (entry->kind == entry_kind::Membership)
+                return decodeMembership(entry->payload);
+        }
+        return stored.lastSnapshot ? stored.lastSnapshot->members : membership {};
+    }
+
+} // namespace
+
+restored_group restoreFromDisk(const persisted_state& stored, const member& survivor)
+{
+    const auto members = lastMembership(stored);
+    if (!isListed(members, survivor))
+        throw chervilport_error(error_kind::InvalidRequest, "the disk holds no membership that lists this member");
+
+    restored_group restored;
+    const auto log = makeEntryLog(persisted_state(stored));
+    restored.lastIndex = lastIndex(log);
+    restored.lastTerm = lastTerm(log);
+
+    // The others stay known as learners, so that the leader reaches them and admits their new incarnations.
+    auto next = without(members, survivor.id);
+    restored.dropped = next.voters;
+    for (auto voter : next.voters) {
+        voter.promoteWhenCaughtUp = true;
+        next.learners.push_back(voter);
+    }
+    next.voters = { survivor };
+    next.voters.front().promoteWhenCaughtUp = false;
+
+    restored.entriesMayBeMissing = members.voters.size() > 1 || !isVoter(members, survivor);
+    restored.state = stored;
+    restored.state.hard = { stored.hard.term + restoreTermStep, survivor.id };
+    restored.state.entries.push_back(
+        { restored.lastIndex + 1, restored.state.hard.term, entry_kind::Membership, encodeMembership(next) });
+    return restored;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/tests/consensus/exhaustive_test.cpp
@@ -0,0 +1,226 @@
+#include "chervilport/consensus/election.h"
+#include "chervilport/consensus/replica_state.h"
+
+#include <algorithm>
+#include <array>
+#include <criterion/criterion.h>
+#include <sstream>
+#include <stdexcept>
+#include <unordered_map>
+
+using namespace chervilport;
+
+namespace {
+
+constexpr int memberCount = 3;
+
+/// What may still happen on a path.
+struct budget {
+    int elections = 0;
+    int proposals = 0;
+    int crashes = 0;
+};
+
+/// A state of the whole group, explored by value. Every output is synced at once.
+struct world {
+    std::array<replica, memberCount> members;
+    std::array<persisted_state, memberCount> disks;
+    std::vector<message> inFlight;
+    std::map<std::uint64_t, log_entry> committed;
+    /// Term in which an entry was found to be committed; only leaders of later terms must hold it.
+    std::map<std::uint64_t, std::uint64_t> committedIn;
+    std::map<std::uint64_t, member_id> leaders;
+    budget left;
+};
+
+void require(bool holds, const char* property)
+{
+    if (!holds)
+        throw std::logic_error(property);
+}
+
+void checkLeader(world& next, const replica& state)
+{
+    const auto [known, added] = next.leaders.try_emplace(state.hard.term, state.config.self.id);
+    require(known->second == state.config.self.id, "two leaders in one term");
+    for (const auto& [index, entry] : next.committed)
+        require(!added || next.committedIn.at(index) >= state.hard.term || termAt(state.log, index) == entry.term,
+            "new leader lacks a committed entry");
+}
+
+void carryOut(world& next, int at, replica_output output)
+{
+    auto& state = next.members[at];
+    auto& disk = next.disks[at];
+    disk.hard = output.hardState.value_or(disk.hard);
+    for (const auto& entry : output.appended) {
+        disk.entries.resize(entry.index - 1);
+        disk.entries.push_back(entry);
+    }
+    for (const auto& entry : output.committed) {
+        const auto [known, added] = next.committed.try_emplace(entry.index, entry);
+        next.committedIn.try_emplace(entry.index, state.hard.term);
+        require(known->second == entry, "different entries committed at one index");
+    }
+    std::move(output.messages.begin(), output.messages.end(), std::back_inserter(next.inFlight));
+    if (state.role == replica_role::Leader)
+        checkLeader(next, state);
+    if (!output.appended.empty())
+        carryOut(next, at, persisted(state, state.now));
+}
+
+/// Everything that decides how a state goes on.
+std::string fingerprint(const world& state)
+{
+    std::ostringstream out;
+    for (const auto& one : state.members) {
+        out << one.hard.term << ' ' << static_cast<std::uint64_t>(one.hard.votedFor.value_or(member_id {})) << ' '
+            << static_cast<int>(one.role) << ' ' << static_cast<std::uint64_t>(one.leader.value_or(member_id {})) << ' '
+            << one.commitIndex << ' ' << one.votes.size() << '[';
+        for (const auto& entry : one.log.entries)
+            out << entry.term << ',' << entry.payload.size() << ' ';
+        for (const auto& [id, peer] : one.peers)
+            out << peer.match << '/' << peer.next << static_cast<int>(peer.mode) << peer.probePending
+                << peer.inflight.size() << ' ';
+        out << "]\n";
+    }
+    std::vector<std::string> messages;
+    for (const auto& sent : state.inFlight) {
+        std::ostringstream text;
+        text << static_cast<std::uint64_t>(sent.from) << static_cast<std::uint64_t>(sent.to) << sent.term << ':'
+             << sent.body.index() << ' ';
+        if (const auto* append = std::get_if<append_request>(&sent.body)) {
+            text << append->previousIndex << ' ' << append->previousTerm << ' ' << append->commitIndex;
+            for (const auto& entry : append->entries)
+                text << ',' << entry.term;
+        } else if (const auto* response = std::get_if<append_response>(&sent.body)) {
+            text << response->accepted << response->matchIndex;
+        } else if (const auto* vote = std::get_if<vote_response>(&sent.body)) {
+            text << vote->granted;
+        }
+        messages.push_back(text.str());
+    }
+    std::sort(messages.begin(), messages.end());
+    for (const auto& text : messages)
+        out << text << '\n';
+    out << state.left.elections << state.left.proposals << state.left.crashes;
+    return out.str();
+}
+
+/// Depth-first search over all orders of deliveries, losses, elections, proposals and crashes.
+class search {
+public:
+    explicit search(int depth)
+        : m_depth(depth)
+    {
+    }
+
+    void explore(const world& state, int depth = 0)
+    {
+        if (depth == m_depth)
+            return;
+        // A state that is reached again by a shorter path has more steps left, and is explored again.
+        const auto [known, added] = m_seen.try_emplace(std::hash<std::string> {}(fingerprint(state)), depth);
+        if (!added && known->second <= depth)
+            return;
+        known->second = depth;
+        // A message that is not delivered on a path counts as lost, so that losses need no steps of their own.
+        for (std::size_t i = 0; i < state.inFlight.size(); ++i)
+            explore(afterDelivery(state, i), depth + 1);
+        for (int at = 0; at < memberCount; ++at) {
+            if (state.left.elections > 0 && state.members[at].role != replica_role::Leader)
+                explore(afterElection(state, at), depth + 1);
+            if (state.left.proposals > 0 && state.members[at].role == replica_role::Leader)
+                explore(afterProposal(state, at), depth + 1);
+            if (state.left.crashes > 0)
+                explore(afterCrash(state, at), depth + 1);
+        }
+    }
+
+    std::size_t states() const { return m_seen.size(); }
+
+private:
+    static world afterDelivery(world next, std::size_t which)
+    {
+        const auto delivered = next.inFlight[which];
+        next.inFlight.erase(next.inFlight.begin() + static_cast<std::ptrdiff_t>(which));
+        const auto at = static_cast<int>(delivered.to) - 1;
+        carryOut(next, at, receive(next.members[at], delivered, next.members[at].now));
+        return next;
+    }
+
+    /// The member stands at once, as after a transfer, so that the search is not spent on pre-votes.
+    static world afterElection(world next, int at)
+    {
+        --next.left.elections;
+        replica_output output;
+        startElection(next.members[at], election_cause::Transfer, output);
+        output.hardState = next.members[at].hard;
+        carryOut(next, at, std::move(output));
+        return next;
+    }
+
+    static world afterProposal(world next, int at)
+    {
+        --next.left.proposals;
+        replica_output output;
+        propose(next.members[at], { "x" }, next.members[at].now, output);
+        carryOut(next, at, std::move(output));
+        return next;
+    }
+
+    static world afterCrash(world next, int at)
+    {
+        --next.left.crashes;
+        const auto config = next.members[at].config;
+        next.members[at] = *makeReplica(config, next.disks[at], next.members[at].now);
+        return next;
+    }
+
+    int m_depth;
+    /// States by a hash, with the shortest path that led there.
+    std::unordered_map<std::size_t, int> m_seen;
+};
+
+world start(const std::array<persisted_state, memberCount>& disks, const budget& left)
+{
+    membership members;
+    for (int id = 1; id <= memberCount; ++id)
+        members.voters.push_back({ member_id(id), 1, true });
+    world first;
+    first.disks = disks;
+    first.left = left;
+    for (int at = 0; at < memberCount; ++at) {
+        replica_config config;
+        config.self = members.voters[at];
+        config.initial = members;
+        config.maxAppendBytes = 0;
+        first.members[at] = *makeReplica(config, disks[at], log_time {});
+    }
+    return first;
+}
+
+log_entry entry(std::uint64_t index, std::uint64_t term) { return { index, term, entry_kind::Data, "x" }; }
+
+} // namespace
+
+// Guards against two leaders in a term or a lost entry in any order of a few messages, elections and crashes, which
+// random histories may miss.
+Test(exhaustive, freshGroup)
+{
+    search all(9);
+    all.explore(start({}, { 2, 1, 1 }));
+    fprintf(stderr, "states %zu\n", all.states());
+}
+
+// Guards against the commit of entries of older terms and against elections of members with older logs: two members
+// hold different uncommitted entries at the same index.
+Test(exhaustive, divergedLogs)
+{
+    const persisted_state first { { 3, std::nullopt }, std::nullopt, { entry(1, 1), entry(2, 2) } };
+    const persisted_state second { { 2, std::nullopt }, std::nullopt, { entry(1, 1) } };
+    const persisted_state third { { 3, member_id { 3 } }, std::nullopt, { entry(1, 1), entry(2, 3) } };
+    search all(13);
+    all.explore(start({ first, second, third }, { 2, 0, 0 }));
+    fprintf(stderr, "states %zu\n", all.states());
+}
--- /dev/null
+++ b/tests/consensus/membership_test.cpp
@@ -0,0 +1,267 @@
+#include "chervilport/consensus/membership_codec.h"
+#include "chervilport/consensus/restored_group.h"
+#include "tests/consensus/fake_group.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool change(fake_group& group, int at, const member& changed, bool asVoter)
+{
+    return group.call(at, [&](replica& state, log_time now, replica_output& output) {
+        return changeMember(state, changed, asVoter, now, output);
+    });
+}
+
+bool remove(fake_group& group, int at, int id)
+{
+    return group.call(at, [id](replica& state, log_time now, replica_output& output) {
+        return removeMember(state, member_id(id), now, output);
+    });
+}
+
+bool isVoter(fake_group& group, int at, int id, std::uint64_t incarnation = 1)
+{
+    return group.isVoter(at, id, incarnation);
+}
+
+int otherThan(int id, int another = 0)
+{
+    for (int other = 1;; ++other) {
+        if (other != id && other != another)
+            return other;
+    }
+}
+
+/// Proposes and tells whether it is committed within a second.
+bool commits(fake_group& group, int at)
+{
+    const auto index = group.propose(at, "probe");
+    group.run(1s);
+    return index && group.committed().contains(*index);
+}
+
+} // namespace
+
+// Guards against a membership that changes on its way through the log.
+Test(membership, codecKeepsEveryField)
+{
+    const membership members { { { member_id { 1 }, 7, true, false } },
+        { { member_id { 300 }, 1ULL << 60, false, true } } };
+    cr_assert(decodeMembership(encodeMembership(members)) == members);
+    cr_assert_any_throw(decodeMembership(encodeMembership(members).substr(1)));
+    cr_assert_any_throw(decodeMembership(encodeMembership(members) + "x"));
+}
+
+// Guards against a new member that counts before it has the log, and against a learner that counts at all.
+Test(membership, newMembersLearnFirst)
+{
+    fake_group group(21, 1);
+    group.run(100ms);
+    group.propose(1, "a");
+    group.addInstance(2, true);
+    group.addInstance(3, true);
+    cr_assert(change(group, 1, { member_id { 2 }, 1, true }, true));
+    cr_assert_not(isVoter(group, 1, 2));
+    group.run(2s);
+    cr_assert(isVoter(group, 1, 2));
+    cr_assert(change(group, 1, { member_id { 3 }, 1, true }, false));
+    group.run(2s);
+    cr_assert_not(isVoter(group, 1, 3));
+    cr_assert(group.converged());
+    group.crash(3);
+    cr_assert(commits(group, 1));
+    group.crash(2);
+    cr_assert_not(commits(group, 1));
+}
+
+// Guards against a change that a new leader makes before it knows which change its predecessor committed.
+Test(membership, changeWaitsForACommitOfTheOwnTerm)
+{
+    fake_group group(22, 3);
+    group.syncDelay = 100ms;
+    group.observer = [&](const message&) {
+        const auto leader = group.leader();
+        if (leader && !group.status(*leader).ready) {
+            replica_output output;
+            const auto now = group.localTime(*leader);
+            cr_assert_not(removeMember(*group.member(*leader).state, member_id(otherThan(*leader)), now, output));
+        }
+    };
+    group.runUntilLeader();
+}
+
+// Guards against a second change before the first one is committed, and against a change that stays in force on members
+// although its entry was overwritten.
+Test(membership, uncommittedChangeIsRolledBack)
+{
+    fake_group group(23, 3);
+    const auto old = group.runUntilLeader();
+    group.run(1s);
+    group.isolate(old);
+    cr_assert(remove(group, old, otherThan(old)));
+    cr_assert_not(remove(group, old, otherThan(old, otherThan(old))));
+    cr_assert_eq(group.status(old).members.voters.size(), 2);
+    group.run(4s);
+    const auto successor = group.runUntilLeader();
+    cr_assert(commits(group, successor));
+    group.heal();
+    group.run(3s);
+    cr_assert_eq(group.status(old).members.voters.size(), 3);
+    cr_assert(group.converged());
+}
+
+// Guards against a removed leader that keeps leading, and a removed member that disturbs the others.
+Test(membership, removedLeaderHandsOverAndStaysQuiet)
+{
+    fake_group group(24, 3);
+    const auto old = group.runUntilLeader();
+    group.run(1s);
+    cr_assert(remove(group, old, old));
+    group.run(200ms);
+    const auto successor = group.leader();
+    cr_assert(successor.has_value() && *successor != old);
+    cr_assert_eq(group.status(*successor).members.voters.size(), 2);
+    const auto term = group.status(*successor).term;
+    group.run(10s);
+    cr_assert_eq(group.status(*successor).term, term);
+    cr_assert(group.status(old).role == replica_role::Learner);
+}
+
+// Guards against a change that is lost or made twice while messages are lost.
+Test(membership, changesCompleteUnderLoss)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        fake_group group(seed, 3);
+        group.runUntilLeader();
+        group.addInstance(4, true);
+        group.faults = { 200, 100, 400us, 20ms };
+        bool added = false;
+        bool removed = false;
+        for (int i = 0; i < 300 && !removed; ++i) {
+            const auto leader = group.runUntilLeader();
+            added = added || isVoter(group, leader, 4);
+            if (!added)
+                change(group, leader, { member_id { 4 }, 1, true }, true);
+            else if (isVoter(group, leader, 1))
+                remove(group, leader, 1);
+            else
+                removed = true;
+            group.run(100ms);
+        }
+        cr_assert(removed);
+        group.faults = {};
+        group.run(5s);
+        cr_assert_eq(group.status(group.runUntilLeader()).members.voters.size(), 3);
+    }
+}
+
+// Guards against a member that forgot its vote being counted before it is admitted again, and one that never is.
+Test(diskless, restartedMemberIsAdmittedAgain)
+{
+    fake_group group(25, 3, { 1, 2, 3 });
+    const auto leader = group.runUntilLeader();
+    const auto lost = otherThan(leader);
+    group.run(1s);
+    group.crash(lost);
+    group.run(500ms);
+    group.crash(otherThan(leader, lost));
+    group.restart(lost);
+    cr_assert_not(commits(group, leader), "the new incarnation was counted");
+    group.restart(otherThan(leader, lost));
+    group.run(20s);
+    cr_assert_not(group.leader().has_value(), "two of three forgot the log");
+}
+
+// Guards against a restarted member that stays a learner, on each of many restarts with hundreds of entries behind.
+Test(diskless, survivesARestartOfEachMemberInTurn)
+{
+    fake_group group(26, 3, { 1, 2, 3 });
+    group.runUntilLeader();
+    for (int round = 0; round < 9; ++round) {
+        const auto id = round % 3 + 1;
+        group.crash(id);
+        const auto leader = group.runUntilLeader();
+        for (int i = 0; i < 300; ++i)
+            group.propose(leader, "entry " + std::to_string(i));
+        group.run(1s);
+        group.compactAt(leader);
+        group.restart(id);
+        group.run(2s);
+        cr_assert(isVoter(group, leader, id, group.member(id).config.self.incarnation));
+        cr_assert(group.converged());
+    }
+}
+
+// Guards against the loss of another member right after a repair stopping the group or losing an entry.
+Test(diskless, survivesASecondLossRightAfterARepair)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fake_group group(seed, 3, { 1, 2, 3 });
+        const auto first = group.runUntilLeader();
+        cr_assert(commits(group, first));
+        const auto lost = otherThan(first);
+        group.crash(lost);
+        group.restart(lost);
+        while (!isVoter(group, first, lost, 2))
+            group.run(1ms);
+        group.crash(first);
+        group.run(5s);
+        const auto second = group.runUntilLeader();
+        cr_assert(commits(group, second));
+        group.restart(first);
+        group.run(3s);
+        cr_assert(isVoter(group, second, first, 2));
+        cr_assert(group.converged());
+    }
+}
+
+// Guards against a sitting leader that stops although the only other voter has provably restarted.
+Test(diskless, leaderWithADiskOutlivesBothOthers)
+{
+    fake_group group(27, 2, { 2 });
+    while (group.runUntilLeader() != 1) {
+        group.call(2, [](replica& state, log_time now, replica_output& output) {
+            return transferLeadership(state, now, output);
+        });
+        group.run(1s);
+    }
+    group.crash(2);
+    group.restart(2);
+    group.run(2s);
+    cr_assert(isVoter(group, 1, 2, 2));
+    cr_assert(commits(group, 1));
+}
+
+// Guards against a restore that hides a possible loss, and a restored group that does not work or does not take the
+// others back.
+Test(diskless, operatorRestoresAGroupFromTheOnlyDisk)
+{
+    fake_group group(28, 3, { 2, 3 });
+    const auto leader = group.runUntilLeader();
+    cr_assert(commits(group, leader));
+    const auto held = group.committed().size();
+    for (int id = 1; id <= 3; ++id)
+        group.crash(id);
+    for (int id = 1; id <= 3; ++id)
+        group.restart(id);
+    group.run(20s);
+    cr_assert_not(group.leader().has_value());
+
+    group.crash(1);
+    const auto restored = restoreFromDisk(group.member(1).disk, group.member(1).config.self);
+    cr_assert(restored.entriesMayBeMissing);
+    cr_assert_eq(restored.dropped.size(), 2);
+    cr_assert_eq(restored.lastIndex, held);
+    group.member(1).disk = restored.state;
+    group.restart(1);
+    group.run(5s);
+    cr_assert(group.leader() == 1);
+    cr_assert_eq(group.status(1).members.voters.size(), 3);
+    cr_assert(group.converged());
+    group.crash(2);
+    cr_assert(commits(group, 1));
+}
--- /dev/null
+++ b/tests/consensus/property_test.cpp
@@ -0,0 +1,177 @@
+#include "tests/consensus/fake_group.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace chervilport;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What happens to a group in one step of a history.
+enum class event_kind {
+    Propose,
+    Crash,
+    Restart,
+    Cut,
+    Isolate,
+    Heal,
+    Transfer,
+    Compact,
+    AddVoter,
+    AddLearner,
+    Remove,
+    Pass,
+};
+
+struct history_event {
+    event_kind kind;
+    int target;
+    int other;
+    int milliseconds;
+};
+
+std::ostream& operator<<(std::ostream& out, const history_event& event)
+{
+    return out << '{' << static_cast<int>(event.kind) << ',' << event.target << ',' << event.other << ','
+               << event.milliseconds << '}';
+}
+
+rc::Gen<std::vector<history_event>> histories(int members)
+{
+    const auto event = rc::gen::construct<history_event>(
+        rc::gen::map(rc::gen::inRange(0, 12), [](int kind) { return static_cast<event_kind>(kind); }),
+        rc::gen::inRange(1, members + 1), rc::gen::inRange(1, members + 1), rc::gen::inRange(0, 1500));
+    return rc::gen::container<std::vector<history_event>>(event);
+}
+
+/// Whether all members are up, admitted as voters, and nothing of that is still uncommitted.
+bool isWhole(fake_group& group, int members)
+{
+    const auto leader = group.leader();
+    if (!leader)
+        return false;
+    const auto now = group.status(*leader);
+    bool whole = now.ready && now.commitIndex == now.lastIndex;
+    for (int id = 1; id <= members; ++id)
+        whole = whole && group.isUp(id) && group.isVoter(*leader, id, group.member(id).config.self.incarnation);
+    return whole;
+}
+
+void changeMembers(fake_group& group, const history_event& event)
+{
+    const auto leader = group.leader();
+    if (!leader)
+        return;
+    group.call(*leader, [&](replica& state, log_time now, replica_output& output) {
+        const auto& target = group.member(event.target).config.self;
+        if (event.kind == event_kind::Remove)
+            return removeMember(state, target.id, now, output);
+        return changeMember(state, target, event.kind == event_kind::AddVoter, now, output);
+    });
+}
+
+void play(fake_group& group, const history_event& event, int members, bool diskless)
+{
+    switch (event.kind) {
+    case event_kind::Propose:
+        for (int id = 1; id <= members; ++id) {
+            if (group.isUp(id))
+                group.propose(id, "by " + std::to_string(id));
+        }
+        break;
+    case event_kind::Crash:
+        if (group.isUp(event.target) && (!diskless || isWhole(group, members)))
+            group.crash(event.target);
+        break;
+    case event_kind::Restart:
+        if (!group.isUp(event.target))
+            group.restart(event.target);
+        break;
+    case event_kind::Cut:
+        group.cut(event.target, event.other);
+        break;
+    case event_kind::Isolate:
+        group.isolate(event.target);
+        break;
+    case event_kind::Heal:
+        group.heal();
+        break;
+    case event_kind::Transfer:
+        if (group.isUp(event.target))
+            group.call(event.target, [](replica& state, log_time now, replica_output& output) {
+                return transferLeadership(state, now, output);
+            });
+        break;
+    case event_kind::Compact:
+        if (group.isUp(event.target))
+            group.compactAt(event.target);
+        break;
+    case event_kind::AddVoter:
+    case event_kind::AddLearner:
+    case event_kind::Remove:
+        if (!diskless || event.kind == event_kind::AddVoter || isWhole(group, members))
+            changeMembers(group, event);
+        break;
+    case event_kind::Pass:
+        break;
+    }
+    group.run(std::chrono::milliseconds(event.milliseconds));
+}
+
+/// Plays a random history; the group checks the safety properties at every step. Afterwards everything is repaired and
+/// the group has to elect a leader, commit and converge.
+void checkHistory(int members, bool diskless)
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    std::set<int> withoutDisk;
+    for (int id = 1; diskless && id <= members; ++id)
+        withoutDisk.insert(id);
+    replica_config config;
+    config.retainedEntries = 2;
+    config.maxAppendBytes = 20;
+    config.maxInflightAppends = 2;
+    fake_group group(seed, members, withoutDisk, config);
+    for (int id = 1; id <= members; ++id)
+        group.member(id).clockRate = *rc::gen::inRange(-5, 5);
+    group.faults = { *rc::gen::inRange(0u, 200u), *rc::gen::inRange(0u, 200u), 400us,
+        std::chrono::milliseconds(*rc::gen::inRange(1, 400)) };
+    if (!diskless)
+        group.syncDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 30));
+    for (const auto& event : *histories(members))
+        play(group, event, members, diskless);
+
+    group.heal();
+    group.faults = {};
+    for (int id = 1; id <= members; ++id) {
+        if (!group.isUp(id))
+            group.restart(id);
+    }
+    group.run(5s);
+    const auto leader = group.runUntilLeader();
+    RC_ASSERT(group.propose(leader, "last").has_value());
+    group.run(3s);
+    RC_ASSERT(group.committed().rbegin()->second.entry.payload == "last");
+    RC_ASSERT(group.leaseHolders().size() == 1U);
+}
+
+} // namespace
+
+// Guards the safety properties (one leader a term, log matching, no committed entry lost, equal state machines,
+// monotonic commit, one lease holder) against any mix of faults, restarts and membership changes, and against a group
+// that does not recover.
+Test(properties, threeMembersWithDisks)
+{
+    cr_assert(rc::check([] { checkHistory(3, false); }));
+}
+
+Test(properties, fiveMembersWithDisks)
+{
+    cr_assert(rc::check([] { checkHistory(5, false); }));
+}
+
+// The same where a restart loses everything, as long as one member at a time does.
+Test(properties, membersWithoutDisksThatAreLostOneAtATime)
+{
+    cr_assert(rc::check([] { checkHistory(3, true); }));
+}
--- /dev/null
+++ b/tests/consensus/replication_test.cpp
@@ -0,0 +1,177 @@
+#include "chervilport/consensus/replica_state.h"
+#include "tests/consensus/fake_group.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int proposals = 300;
+
+/// Proposes entries over time, wherever the leader is.
+void proposeMany(fake_group& group, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        if (const auto leader = group.leader())
+            group.propose(*leader, "entry " + std::to_string(i));
+        group.run(20ms);
+    }
+}
+
+std::size_t entriesIn(const message& sent)
+{
+    const auto* append = std::get_if<append_request>(&sent.body);
+    return append ? append->entries.size() : 0;
+}
+
+int followerOf(int leader) { return leader == 3 ? 1 : leader + 1; }
+
+log_entry dataEntry(std::uint64_t index, std::uint64_t term) { return { index, term, entry_kind::Data, "x" }; }
+
+message fromMember(int id, std::uint64_t term, decltype(message::body) body)
+{
+    return { member_id(id), 1, member_id(1), term, std::move(body) };
+}
+
+} // namespace
+
+// Guards against lost, repeated or reordered entries on a network that loses, duplicates, delays and reorders messages.
+Test(replication, survivesLossDuplicationAndReordering)
+{
+    fake_group group(11, 3);
+    group.runUntilLeader();
+    group.faults = { 100, 100, 400us, 60ms };
+    group.syncDelay = 5ms;
+    proposeMany(group, proposals);
+    group.faults = {};
+    group.run(5s);
+    cr_assert(group.converged());
+    cr_assert_gt(group.committed().size(), proposals / 2);
+}
+
+// Guards against a member far behind that gets every entry again although a snapshot covers them.
+Test(replication, memberFarBehindGetsASnapshotAndTheRest)
+{
+    replica_config config;
+    config.retainedEntries = 20;
+    fake_group group(12, 3, {}, config);
+    const auto leader = group.runUntilLeader();
+    const auto behind = followerOf(leader);
+    group.crash(behind);
+    proposeMany(group, proposals);
+    group.compactAt(leader);
+    proposeMany(group, 10);
+    group.restart(behind);
+    group.run(3s);
+    cr_assert(group.converged());
+    cr_assert_eq(group.member(behind).snapshotsInstalled, 1);
+    cr_assert_lt(group.member(behind).entriesReceived, 20);
+}
+
+// Guards against a snapshot for a member that misses only entries that the leader retained for it.
+Test(replication, memberAFewEntriesBehindGetsNoSnapshot)
+{
+    fake_group group(13, 3);
+    const auto leader = group.runUntilLeader();
+    const auto behind = followerOf(leader);
+    group.crash(behind);
+    proposeMany(group, 100);
+    group.compactAt(leader);
+    group.restart(behind);
+    group.run(3s);
+    cr_assert(group.converged());
+    cr_assert_eq(group.member(behind).snapshotsInstalled, 0);
+    cr_assert_eq(group.member(behind).entriesReceived, 100);
+}
+
+// Guards against a leader that floods a silent member with entries, and against heartbeats that carry entries.
+Test(replication, silentMemberIsProbedAndIdleHeartbeatsAreEmpty)
+{
+    fake_group group(14, 3);
+    const auto leader = group.runUntilLeader();
+    const auto silent = followerOf(leader);
+    group.crash(silent);
+    std::size_t entriesToSilent = 0;
+    std::size_t messagesToSilent = 0;
+    group.observer = [&](const message& sent) {
+        if (sent.to != member_id(silent))
+            return;
+        entriesToSilent += entriesIn(sent);
+        ++messagesToSilent;
+    };
+    proposeMany(group, proposals);
+    cr_assert_leq(entriesToSilent, 8);
+    cr_assert_leq(messagesToSilent, 8 + 6000 / 300 + 1);
+
+    std::size_t idleEntries = 0;
+    std::size_t idleMessages = 0;
+    group.observer = [&](const message& sent) {
+        idleEntries += entriesIn(sent);
+        ++idleMessages;
+    };
+    group.run(3s);
+    cr_assert_eq(idleEntries, 0);
+    cr_assert_leq(idleMessages, 10 * 3 + 1);
+}
+
+// Guards against one message per entry to a member that answers slowly: entries that wait for the window are batched.
+Test(replication, entriesBeyondTheWindowAreBatched)
+{
+    fake_group group(15, 3);
+    const auto leader = group.runUntilLeader();
+    group.faults = { 0, 0, 100ms, 100ms };
+    std::size_t messages = 0;
+    group.observer = [&](const message& sent) { messages += entriesIn(sent) > 0 ? 1 : 0; };
+    for (int i = 0; i < 100; ++i)
+        group.propose(leader, "entry " + std::to_string(i));
+    group.run(3s);
+    cr_assert(group.converged());
+    cr_assert_leq(messages, 2 * (8 + 3));
+}
+
+// Guards against a leader that counts itself for an entry that is not on its disk yet.
+Test(replication, leaderCountsItselfOnlyWhenSynced)
+{
+    replica_config config;
+    config.self = { member_id { 1 }, 1, true };
+    config.initial.voters = { config.self, { member_id { 2 }, 1, true }, { member_id { 3 }, 1, true } };
+    const auto state = makeReplica(config, {}, log_time {});
+    const log_time now { 10s };
+    tick(*state, now);
+    receive(*state, fromMember(2, 1, vote_response { true, true }), now);
+    receive(*state, fromMember(2, 1, vote_response { false, true }), now);
+    cr_assert(statusOf(*state).role == replica_role::Leader);
+    receive(*state, fromMember(2, 1, append_response { true, 1, 1 }), now);
+    cr_assert_eq(statusOf(*state).commitIndex, 0);
+    cr_assert_eq(persisted(*state, now).committed.size(), 1);
+}
+
+// Guards against the commit of an entry of an older term because a majority holds it: a leader of a later term could
+// still overwrite it.
+Test(replication, olderTermsAreCommittedOnlyThroughTheOwnTerm)
+{
+    replica_config config;
+    config.self = { member_id { 1 }, 1, true };
+    config.initial.voters = { config.self, { member_id { 2 }, 1, true }, { member_id { 3 }, 1, true } };
+    persisted_state stored { { 3, member_id { 1 } }, std::nullopt, { dataEntry(1, 1), dataEntry(2, 2) } };
+    const auto state = makeReplica(config, stored, log_time {});
+    const log_time now { 10s };
+    tick(*state, now);
+    receive(*state, fromMember(2, 4, vote_response { true, true }), now);
+    receive(*state, fromMember(2, 4, vote_response { false, true }), now);
+    persisted(*state, now);
+    receive(*state, fromMember(2, 4, append_response { true, 2, 1 }), now);
+    cr_assert_eq(statusOf(*state).commitIndex, 0);
+    receive(*state, fromMember(2, 4, append_response { true, 3, 1 }), now);
+    cr_assert_eq(statusOf(*state).commitIndex, 3);
+}
+
+// Guards against a gap in the stored log that would shift every entry after it.
+Test(replication, storedLogWithAGapIsRefused)
+{
+    persisted_state stored;
+    stored.entries = { dataEntry(1, 1), dataEntry(3, 1) };
+    cr_assert_any_throw(makeReplica({}, stored, log_time {}));
+}
