Bound the bytes of forwarded calls and notice silent peers without envelopes

Cause: calls were bounded in number only, so that 256 large bodies could exceed the memory of a node. A silent peer that gets only forwarded calls was not noticed before TCP gave up. Calls made before a start that never came had no answer.

Change: a budget of calls and bytes for each peer; an empty envelope as a probe while a call waits; stop answers calls that never reached the loop; answers and configurations larger than one message are refused.

--- a/chervilport/transport/detail/accepted_connection.cpp
+++ b/chervilport/transport/detail/accepted_connection.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/transport/detail/accepted_connection.h"
 
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/transport/detail/call_budget.h"
 #include "chervilport/transport/detail/kj_error.h"
 #include "chervilport/transport/detail/wire_codec.h"
 
@@ -234,6 +235,9 @@
     } catch (const chervilport_error& error) {
         refuseMalformed(error.what());
     }
+    // An empty envelope only asks for an answer.
+    if (content.messages.empty() && content.notices.empty() && content.configurationVersion == 0)
+        return;
     for (const auto& each : content.messages) {
         if (each.content.from != *m_peer || each.content.to != m_context.identity.instance)
             refuseMalformed("sender or receiver of a message is not that of the connection");
@@ -261,7 +265,14 @@
     auto pending = m_server.m_replies.add();
     ++m_forwards;
     m_context.callbacks.onForward(*m_peer, std::move(call), std::move(pending.responder));
-    return pending.reply.attach(kj::defer([self = m_self] {
+    const auto largest = largestPart(m_context.limits);
+    auto reply = pending.reply.then([largest](std::unique_ptr<forward_reply>&& value) {
+        // The call has run, so that the sender can only be told that the outcome is unknown.
+        const auto* answer = std::get_if<forward_answer>(value.get());
+        requireOnWire(answer == nullptr || sizeOf(*answer) <= largest, "the answer is too large to forward");
+        return kj::mv(value);
+    });
+    return reply.attach(kj::defer([self = m_self] {
         if (*self != nullptr)
             --(*self)->m_forwards;
     }));
--- a/chervilport/transport/detail/outbox.cpp
+++ b/chervilport/transport/detail/outbox.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/transport/detail/outbox.h"
 
+#include "chervilport/transport/detail/call_budget.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -30,8 +32,7 @@
     : m_maxMessages(limits.queuedMessages)
     , m_maxNotices(limits.queuedNotices)
     , m_maxBytes(limits.queuedBytes)
-    // The rest is room for the other parts of the call.
-    , m_maxItemBytes(limits.messageBytes - limits.messageBytes / 8)
+    , m_maxItemBytes(largestPart(limits))
 {
 }
 
--- a/chervilport/transport/detail/peer_link.cpp
+++ b/chervilport/transport/detail/peer_link.cpp
@@ -200,6 +200,7 @@
     for (const auto id : waiting)
         start(id);
     flush();
+    m_connection->addCall(probeLoop());
 }
 
 void peer_link::endConnection(const std::string& reason)
@@ -274,6 +275,18 @@
     }
 }
 
+kj::Promise<void> peer_link::probeLoop()
+{
+    // A peer that only gets forwarded calls is otherwise not noticed to be silent before TCP gives up after minutes.
+    return m_timer.afterDelay(durationOf(m_context->limits.answerTimeout)).then([this] {
+        const bool waiting
+            = std::any_of(m_calls.begin(), m_calls.end(), [](const auto& each) { return each.second.sent; });
+        if (waiting && m_unanswered == 0)
+            deliver({});
+        return probeLoop();
+    });
+}
+
 // --- calls ----------------------------------------------------------------------------------------------------------
 
 void peer_link::add(outstanding call, clock::time_point deadline)
--- a/chervilport/transport/detail/peer_link.h
+++ b/chervilport/transport/detail/peer_link.h
@@ -76,6 +76,7 @@
     void startFetch(
         std::uint64_t id, std::uint64_t knownVersion, const std::function<void(std::optional<configuration_copy>)>&);
     void deliver(const envelope&);
+    kj::Promise<void> probeLoop();
     void taskFailed(kj::Exception&&) override;
 
     std::shared_ptr<transport_context> m_context;
--- a/chervilport/transport/peer_transport.cpp
+++ b/chervilport/transport/peer_transport.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/transport/peer_transport.h"
 
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/transport/detail/call_budget.h"
 #include "chervilport/transport/detail/ip_address.h"
 #include "chervilport/transport/detail/outbox.h"
 #include "chervilport/transport/detail/peer_link.h"
@@ -32,8 +33,7 @@
     struct peer {
         peer_address address;
         std::shared_ptr<outbox> queue;
-        /// Calls without an answer; also counts those that still wait in the mailbox.
-        std::shared_ptr<std::atomic<std::size_t>> calls;
+        std::shared_ptr<call_budget> calls;
     };
 
     /// What lives on the loop thread.
@@ -57,7 +57,9 @@
     /// Guards `peers`; held while a change is posted, so that changes reach the loop in the same order.
     mutable std::mutex mutex;
     std::map<member_id, peer> peers;
-    /// Only on the loop thread.
+    /// Serializes `stop`.
+    std::mutex stopMutex;
+    /// Only on the loop thread; null before it runs and once it ends.
     loop_state* loop = nullptr;
 };
 
@@ -78,6 +80,7 @@
         state.server.listen(kj::mv(receiver));
         started.set_value(boundPort);
     } catch (const kj::Exception& error) {
+        loop = nullptr;
         context->tasks.close();
         started.set_exception(std::make_exception_ptr(chervilport_error(error_kind::Unavailable,
             "cannot listen on " + ip + " port " + std::to_string(wantedPort) + ": " + error.getDescription().cStr())));
@@ -87,12 +90,14 @@
     quit.promise.wait(io.waitScope);
     // Links answer their outstanding calls as they are destroyed; a task that is left then finds no link.
     state.links.clear();
-    context->tasks.close();
     loop = nullptr;
+    context->tasks.close();
 }
 
 void peer_transport::impl::applyPeers(const std::vector<peer>& wanted)
 {
+    if (loop == nullptr)
+        return;
     std::map<member_id, std::unique_ptr<peer_link>> kept;
     for (const auto& each : wanted) {
         auto found = loop->links.find(each.address.id);
@@ -120,6 +125,8 @@
 
 peer_link* peer_transport::impl::linkOf(member_id id) const
 {
+    if (loop == nullptr)
+        return nullptr;
     const auto found = loop->links.find(id);
     return found == loop->links.end() ? nullptr : found->second.get();
 }
@@ -136,7 +143,7 @@
         const auto found = peers.find(id);
         auto entry = found != peers.end()
             ? found->second
-            : peer { {}, std::make_shared<outbox>(context->limits), std::make_shared<std::atomic<std::size_t>>(0) };
+            : peer { {}, std::make_shared<outbox>(context->limits), std::make_shared<call_budget>(context->limits) };
         entry.address = std::move(each);
         if (changed.emplace(id, entry).second)
             list.push_back(std::move(entry));
@@ -198,14 +205,15 @@
     }
 
     // Bound the calls, including those that the loop has not seen yet.
-    if (peer->calls->fetch_add(1) >= m_impl->context->limits.unansweredForwards) {
-        peer->calls->fetch_sub(1);
-        callback(forward_failure {
-            error_kind::Overloaded, run_outcome::NotRun, "too many forwarded calls wait for an answer" });
+    const auto bytes = sizeOf(call);
+    if (const auto refusal = peer->calls->take(bytes)) {
+        callback(forward_failure { *refusal, run_outcome::NotRun,
+            *refusal == error_kind::TooLarge ? "the call is too large to forward"
+                                             : "too many forwarded calls wait for an answer" });
         return;
     }
-    const auto finish = [calls = peer->calls, callback = std::move(callback)](forward_result result) {
-        calls->fetch_sub(1);
+    const auto finish = [calls = peer->calls, bytes, callback = std::move(callback)](forward_result result) {
+        calls->giveBack(bytes);
         callback(std::move(result));
     };
     const auto task = [impl = m_impl.get(), id, call = std::move(call), deadline, finish] {
@@ -235,6 +243,9 @@
 
 void peer_transport::publishConfiguration(configuration_copy copy)
 {
+    if (copy.content.size() > largestPart(m_impl->context->limits))
+        throw chervilport_error(
+            error_kind::TooLarge, "the configuration is too large for one message between instances");
     const std::lock_guard lock(m_impl->context->publishedMutex);
     m_impl->context->published = std::move(copy);
 }
@@ -250,9 +261,16 @@
 
 void peer_transport::stop()
 {
-    if (!m_impl->thread.joinable())
+    const std::lock_guard lock(m_impl->stopMutex);
+    if (!m_impl->thread.joinable()) {
+        // Answers calls that were made before a start that never came.
+        m_impl->context->tasks.close();
         return;
-    m_impl->context->tasks.post([impl = m_impl.get()] { impl->loop->quit->fulfill(); });
+    }
+    m_impl->context->tasks.post([impl = m_impl.get()] {
+        if (impl->loop != nullptr)
+            impl->loop->quit->fulfill();
+    });
     m_impl->thread.join();
 }
 
--- a/chervilport/transport/peer_transport.h
+++ b/chervilport/transport/peer_transport.h
@@ -59,7 +59,7 @@
     void fetchConfiguration(
         member_id peer, std::uint64_t knownVersion, std::chrono::milliseconds timeout, configuration_callback);
 
-    /// Sets the production configuration that peers can fetch from this instance.
+    /// Sets the production configuration that peers can fetch from this instance. Throws chervilport_error `TooLarge`.
     void publishConfiguration(configuration_copy);
 
     /// Returns the present counters.
--- a/chervilport/transport/transport_limits.h
+++ b/chervilport/transport/transport_limits.h
@@ -17,6 +17,8 @@
     std::size_t unansweredDelivers = 8;
     /// Forwarded calls to one peer without an answer at most; further ones are refused as not run.
     std::size_t unansweredForwards = 256;
+    /// Bytes of these calls at most; a single larger call passes when no other one waits.
+    std::size_t unansweredForwardBytes = std::size_t { 8 } * 1024 * 1024;
     /// Connections accepted at the same time at most; the 54 instances of the largest fleet fit twice.
     std::size_t acceptedConnections = 128;
     /// Bytes of one unpacked message at most, both ways. A larger one ends the connection.
--- a/tests/transport/forward_test.cpp
+++ b/tests/transport/forward_test.cpp
@@ -1,6 +1,8 @@
 #include "tests/transport/tcp_relay.h"
 #include "tests/transport/transport_node.h"
 
+#include "chervilport/transport/detail/call_budget.h"
+
 #include <criterion/criterion.h>
 
 #include <memory>
@@ -139,8 +141,13 @@
     caller.wait([&] { return caller.results.size() == 3; });
     caller.transport.stop();
     caller.forward(1, "/stopped", longTime);
-    cr_assert_eq(caller.results.size(), 4);
-    for (std::size_t i = 0; i < 4; ++i)
+    transport_node never(4);
+    never.transport.setPeers({ address });
+    never.forward(1, "/never started", longTime);
+    never.transport.stop();
+    caller.results.insert(caller.results.end(), never.results.begin(), never.results.end());
+    cr_assert_eq(caller.results.size(), 5);
+    for (std::size_t i = 0; i < 5; ++i)
         cr_assert(failureOf(caller, i).outcome == run_outcome::NotRun);
 }
 
@@ -161,6 +168,39 @@
     cr_assert(failureOf(pair.caller, bound).outcome == run_outcome::Unknown);
 }
 
+// Guards against calls that all end as unknown for minutes because a silent peer gets nothing but calls.
+Test(forward, silent_peer_is_noticed_without_envelopes)
+{
+    transport_limits limits;
+    limits.answerTimeout = std::chrono::milliseconds(100);
+    transport_node server(1);
+    server.start();
+    tcp_relay relay(server.transport.port());
+    transport_node caller(2, 1, limits);
+    caller.start({ { member_id { 1 }, "127.0.0.1", relay.port() } });
+    caller.waitConnected(1);
+    relay.setSilent(true);
+    caller.forward(1, "/a", longTime);
+    caller.wait([&] { return caller.results.size() == 1; });
+    cr_assert(failureOf(caller, 0).outcome == run_outcome::Unknown);
+}
+
+// Guards against memory that grows with the bodies of calls, and against a call that ends the connection by its size.
+Test(forward, bytes_of_calls_are_bounded)
+{
+    transport_limits limits;
+    limits.unansweredForwardBytes = 1000;
+    limits.messageBytes = 100000;
+    call_budget budget(limits);
+    cr_assert(!budget.take(5000).has_value());
+    cr_assert(budget.take(1) == error_kind::Overloaded);
+    budget.giveBack(5000);
+    cr_assert(!budget.take(600).has_value());
+    cr_assert(!budget.take(400).has_value());
+    cr_assert(budget.take(1) == error_kind::Overloaded);
+    cr_assert(budget.take(99999) == error_kind::TooLarge);
+}
+
 // Guards against a configuration that goes back, and against sending it to an instance that has it.
 Test(configuration, only_a_newer_one_is_sent)
 {
