Add the durable log of the replication groups

Cause: a member with a disk may acknowledge an entry only once it survives a power loss, and must never act on a log that lost a synced entry.

All file operations go through the struct file_system. At a start the last segment is written anew, so that what was read of an unsynced write, or after a failed sync, is durable before it counts.

--- /dev/null
+++ b/chervilport/storage/record.cpp
@@ -0,0 +1,100 @@
+#include "chervilport/storage/record.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/core/error_kind.h"
+#include "chervilport/storage/byte_codec.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace chervilport {
+
+namespace {
+
+    /// First bytes of each record, to find records behind a damaged one.
+    constexpr std::uint32_t recordMark = 0xC4E57A1B;
+
+    /// Smallest unit that a disk writes as a whole.
+    constexpr std::size_t sectorBytes = 512;
+
+    std::uint64_t checksumOf(std::uint64_t fileNumber, std::uint64_t offset, std::string_view payload)
+    {
+        byte_writer place;
+        place.put64(fileNumber);
+        place.put64(offset);
+        place.put64(payload.size());
+        const auto seed = XXH3_64bits(place.bytes().data(), place.bytes().size());
+        return XXH3_64bits_withSeed(payload.data(), payload.size(), seed);
+    }
+
+    /// Returns whether a sector of the file, or the part of it from `offset`, consists of zeros.
+    bool hasUnwrittenSector(std::string_view content, std::size_t offset)
+    {
+        while (offset < content.size()) {
+            const auto end = std::min(content.size(), (offset / sectorBytes + 1) * sectorBytes);
+            const auto sector = content.substr(offset, end - offset);
+            if (sector.find_first_not_of('\0') == std::string_view::npos)
+                return true;
+            offset = end;
+        }
+        return false;
+    }
+
+    /// Returns whether a valid record starts anywhere from `offset`.
+    bool hasRecordFrom(std::uint64_t fileNumber, std::string_view content, std::size_t offset)
+    {
+        byte_writer mark;
+        mark.put32(recordMark);
+        for (auto found = content.find(mark.bytes(), offset); found != std::string_view::npos;
+             found = content.find(mark.bytes(), found + 1)) {
+            if (scanRecord(fileNumber, content, found).valid)
+                return true;
+        }
+        return false;
+    }
+
+} // namespace
+
+std::string encodeRecord(std::uint64_t fileNumber, std::uint64_t offset, std::string_view payload)
+{
+    if (payload.size() > largestPayloadBytes)
+        throw chervilport_error(error_kind::TooLarge, "a record of the log is larger than 1 GiB");
+    byte_writer header;
+    header.put32(recordMark);
+    header.put32(static_cast<std::uint32_t>(payload.size()));
+    header.put64(checksumOf(fileNumber, offset, payload));
+    std::string record;
+    record.reserve(recordHeaderBytes + payload.size());
+    record.append(header.bytes());
+    record.append(payload);
+    return record;
+}
+
+record_scan scanRecord(std::uint64_t fileNumber, std::string_view content, std::size_t offset)
+{
+    byte_reader header(content.substr(offset));
+    const auto mark = header.get32();
+    const auto length = header.get32();
+    const auto checksum = header.get64();
+    if (!header.good() || mark != recordMark || length > header.left())
+        return {};
+    const auto payload = content.substr(offset + recordHeaderBytes, length);
+    if (checksumOf(fileNumber, offset, payload) != checksum)
+        return {};
+    return { true, payload, offset + recordHeaderBytes + length };
+}
+
+bool isTornTail(std::uint64_t fileNumber, std::string_view content, std::size_t offset)
+{
+    if (hasRecordFrom(fileNumber, content, offset + 1))
+        return false;
+    byte_reader header(content.substr(offset));
+    const auto mark = header.get32();
+    const auto length = header.get32();
+    header.get64();
+    if (!header.good() || (mark == recordMark && length > header.left()))
+        return true;
+    return hasUnwrittenSector(content, offset);
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/storage/recovery.cpp
@@ -0,0 +1,225 @@
+#include "chervilport/storage/recovery.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/storage/log_record.h"
+#include "chervilport/storage/record.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::string_view segmentPrefix = "segment-";
+    constexpr std::string_view segmentSuffix = ".log";
+    constexpr std::string_view snapshotPrefix = "snapshot-";
+    constexpr std::string_view snapshotSuffix = ".snap";
+
+    /// Digits of a number in a file name, so that names sort by number.
+    constexpr std::size_t nameDigits = 20;
+
+    std::string numberedName(std::string_view prefix, std::uint64_t number, std::string_view suffix)
+    {
+        const auto digits = std::to_string(number);
+        std::string name(prefix);
+        name.append(nameDigits - digits.size(), '0');
+        name.append(digits);
+        name.append(suffix);
+        return name;
+    }
+
+    std::optional<std::uint64_t> numberIn(std::string_view name, std::string_view prefix, std::string_view suffix)
+    {
+        if (!name.starts_with(prefix) || !name.ends_with(suffix) || name.size() <= prefix.size() + suffix.size())
+            return std::nullopt;
+        const auto digits = name.substr(prefix.size(), name.size() - prefix.size() - suffix.size());
+        std::uint64_t number = 0;
+        const auto result = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+        if (result.ec != std::errc() || result.ptr != digits.data() + digits.size())
+            return std::nullopt;
+        return number;
+    }
+
+    std::string pathIn(const std::string& folder, const std::string& name) { return folder + "/" + name; }
+
+    [[noreturn]] void damaged(const std::string& path, std::size_t offset, const std::string& what)
+    {
+        throw chervilport_error(error_kind::StorageFailure,
+            "damaged record in " + path + " at offset " + std::to_string(offset) + ": " + what);
+    }
+
+    /// Replays the records of the segments in order.
+    class replay {
+    public:
+        replay(const file_system& files, std::string folder, recovered_group& group)
+            : m_files(files)
+            , m_folder(std::move(folder))
+            , m_group(group)
+        {
+        }
+
+        void readSegment(std::uint64_t number, bool isLast)
+        {
+            m_number = number;
+            m_path = m_folder + "/" + segmentName(number);
+            auto content = m_files.read(m_path);
+            std::size_t offset = 0;
+            while (offset < content.size()) {
+                const auto scan = scanRecord(number, content, offset);
+                if (!scan.valid) {
+                    // A segment gets its name after its header is synced, and a successor after all of it is.
+                    if (!isLast || offset == 0 || !isTornTail(number, content, offset))
+                        damaged(m_path, offset, "its checksum does not match and synced data follows or is part of it");
+                    m_group.cutBytes = content.size() - offset;
+                    content.resize(offset);
+                    break;
+                }
+                m_offset = offset;
+                apply(scan.payload);
+                offset = scan.next;
+            }
+            if (content.empty())
+                damaged(m_path, 0, "the segment is empty");
+            if (isLast)
+                m_group.lastContent = std::move(content);
+        }
+
+        void useSnapshot()
+        {
+            auto& index = m_group.index;
+            const auto& taken = m_group.state.lastSnapshot;
+            const auto covered = taken ? taken->index : 0;
+            if (covered < index.base())
+                damaged(m_folder, 0, "the snapshot of index " + std::to_string(index.base()) + " is missing");
+            if (covered > index.base()) {
+                // The crash came after the snapshot and before its record.
+                const base_record record { covered, index.matches(covered, taken->term) };
+                m_group.lastContent
+                    += encodeRecord(m_group.segments.back(), m_group.lastContent.size(), encodeBase(record));
+                setBase(record);
+            }
+            if (index.first() != index.base() + 1)
+                damaged(m_folder, 0, "the entries after index " + std::to_string(index.base()) + " are missing");
+        }
+
+    private:
+        void apply(std::string_view payload)
+        {
+            auto record = decodeLogRecord(payload);
+            if (!record)
+                damaged(m_path, m_offset, "its content is of no known form");
+            if (const auto* header = std::get_if<segment_header>(&*record))
+                applyHeader(*header);
+            else if (m_offset == 0)
+                damaged(m_path, m_offset, "it is no segment header");
+            else if (auto* step = std::get_if<step_record>(&*record))
+                applyStep(std::move(*step));
+            else
+                setBase(std::get<base_record>(*record));
+        }
+
+        void applyHeader(const segment_header& header)
+        {
+            auto& hard = m_group.state.hard;
+            if (header.number != m_number || m_offset != 0)
+                damaged(m_path, m_offset, "the header is that of another segment");
+            if (m_first) {
+                m_first = false;
+                hard = header.hard;
+                setBase({ header.baseIndex, false });
+            } else if (header.hard != hard || header.baseIndex != m_group.index.base()) {
+                damaged(m_path, m_offset, "the header contradicts the segment before it");
+            }
+        }
+
+        void applyStep(step_record step)
+        {
+            if (step.hard)
+                m_group.state.hard = *step.hard;
+            auto& entries = m_group.state.entries;
+            for (auto& entry : step.entries) {
+                const auto index = entry.index;
+                const auto first = m_group.index.first();
+                if (!m_group.index.append(index, entry.term, m_number))
+                    damaged(m_path, m_offset, "entries before index " + std::to_string(index) + " are missing");
+                entries.resize(index < first ? 0 : std::min<std::size_t>(entries.size(), index - first));
+                entries.push_back(std::move(entry));
+            }
+        }
+
+        void setBase(const base_record& base)
+        {
+            m_group.index.setBase(base.index, base.keepsLater);
+            auto& entries = m_group.state.entries;
+            const auto kept = m_group.index.last() + 1 - m_group.index.first();
+            entries.erase(entries.begin(), entries.end() - static_cast<std::ptrdiff_t>(kept));
+        }
+
+        const file_system& m_files;
+        std::string m_folder;
+        recovered_group& m_group;
+        std::uint64_t m_number = 0;
+        std::string m_path;
+        std::size_t m_offset = 0;
+        bool m_first = true;
+    };
+
+    snapshot readSnapshot(const file_system& files, const std::string& path, std::uint64_t index)
+    {
+        const auto content = files.read(path);
+        const auto scan = scanRecord(index, content, 0);
+        if (!scan.valid || scan.next != content.size())
+            damaged(path, 0, "the checksum of the snapshot does not match");
+        auto value = decodeSnapshot(scan.payload);
+        if (!value || value->index != index)
+            damaged(path, 0, "it is no snapshot of this index");
+        return std::move(*value);
+    }
+
+} // namespace
+
+std::string segmentName(std::uint64_t number) { return numberedName(segmentPrefix, number, segmentSuffix); }
+
+std::string snapshotName(std::uint64_t index) { return numberedName(snapshotPrefix, index, snapshotSuffix); }
+
+recovered_group recoverGroup(const file_system& files, const std::string& folder)
+{
+    // List the files and remove the incomplete ones.
+    recovered_group group;
+    for (const auto& name : files.list(folder)) {
+        if (name.ends_with(temporarySuffix))
+            files.remove(pathIn(folder, name));
+        else if (const auto number = numberIn(name, segmentPrefix, segmentSuffix))
+            group.segments.push_back(*number);
+        else if (const auto index = numberIn(name, snapshotPrefix, snapshotSuffix))
+            group.snapshots.push_back(*index);
+    }
+
+    // Read the newest snapshot, which was synced before it got its name.
+    if (!group.snapshots.empty()) {
+        const auto newest = group.snapshots.back();
+        group.state.lastSnapshot = readSnapshot(files, folder + "/" + snapshotName(newest), newest);
+    }
+    if (group.segments.empty()) {
+        if (group.state.lastSnapshot)
+            damaged(folder, 0, "there is a snapshot but no segment");
+        return group;
+    }
+
+    // Replay the segments.
+    replay reader(files, folder, group);
+    for (std::size_t i = 0; i < group.segments.size(); ++i) {
+        if (i > 0 && group.segments[i] != group.segments[i - 1] + 1)
+            damaged(folder, 0, "segment " + std::to_string(group.segments[i - 1] + 1) + " is missing");
+        reader.readSegment(group.segments[i], i + 1 == group.segments.size());
+    }
+    reader.useSnapshot();
+    return group;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/tests/storage/crash_test.cpp
@@ -0,0 +1,245 @@
+#include "tests/storage/fake_disk.h"
+#include "tests/storage/log_model.h"
+
+#include "chervilport/core/chervilport_error.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+
+using namespace chervilport;
+
+namespace {
+
+/// Segments this small get a successor after one or two records.
+constexpr std::size_t smallSegment = 150;
+
+/// How far a run came before it ended.
+struct run_result {
+    /// Whether a crash ended it.
+    bool crashed = false;
+    /// States that may be found: what was acknowledged, or what was being made durable.
+    std::vector<persisted_state> allowed { {} };
+};
+
+/// Makes calls until the disk crashes.
+run_result run(fake_disk& disk, const std::vector<store_call>& calls)
+{
+    run_result result;
+    log_model model;
+    try {
+        data_folder data(disk.files(), "data", 7);
+        log_store store(data, "domain", smallSegment);
+        store.load();
+        for (const auto& call : calls) {
+            const auto parts = model.apply(call);
+            result.allowed.insert(result.allowed.end(), parts.begin(), parts.end());
+            make(store, call);
+            result.allowed = { model.state };
+        }
+    } catch (const simulated_crash&) {
+        result.crashed = true;
+    }
+    return result;
+}
+
+/// Opens the log and returns what it holds; on success makes one more call and opens it again.
+persisted_state reopen(fake_disk& disk)
+{
+    data_folder data(disk.files(), "data", 8);
+    log_store store(data, "domain", smallSegment);
+    auto found = store.load();
+    const log_model before { found };
+    log_model model { found };
+    const store_call more { hard_state { 99, member_id { 3 } }, std::nullopt, false,
+        entriesFrom(model.last() + 1, 1, 99) };
+    model.apply(more);
+    make(store, more);
+    cr_assert(same(store.load(), model.state));
+    return found;
+}
+
+bool isAllowed(const run_result& result, const persisted_state& found)
+{
+    return std::any_of(result.allowed.begin(), result.allowed.end(),
+        [&found](const persisted_state& each) { return same(each, found); });
+}
+
+} // namespace
+
+// Guards against losing an acknowledged entry, inventing one, or refusing to start, after a crash at any operation.
+Test(crash, every_point_and_every_outcome_keeps_what_was_acknowledged)
+{
+    const auto calls = exampleCalls();
+    std::size_t points = 0;
+    std::size_t outcomes = 0;
+    for (bool crashed = true; crashed; ++points) {
+        fake_disk disk;
+        disk.crashAt = points;
+        const auto result = run(disk, calls);
+        crashed = result.crashed;
+        for (const auto& state : disk.crashStates()) {
+            ++outcomes;
+            cr_assert(isAllowed(result, reopen(*state)), "crash at operation %zu", points);
+        }
+    }
+    cr_log_info("crash points %zu, outcomes %zu", points, outcomes);
+    cr_assert_gt(points, 80);
+}
+
+// Guards against a recovery that is itself not safe against a crash.
+Test(crash, every_point_of_the_recovery_keeps_what_was_acknowledged)
+{
+    const auto calls = exampleCalls();
+    std::size_t outcomes = 0;
+    bool crashed = true;
+    for (std::size_t point = 0; crashed; ++point) {
+        fake_disk disk;
+        disk.crashAt = point;
+        const auto result = run(disk, calls);
+        crashed = result.crashed;
+        for (const auto& state : disk.crashStates()) {
+            bool again = true;
+            for (std::size_t second = 0; again; ++second) {
+                fake_disk copy = *state;
+                copy.crashAt = second;
+                again = false;
+                try {
+                    data_folder data(copy.files(), "data", 8);
+                    log_store(data, "domain", smallSegment).load();
+                } catch (const simulated_crash&) {
+                    again = true;
+                }
+                for (const auto& last : copy.crashStates()) {
+                    ++outcomes;
+                    cr_assert(isAllowed(result, reopen(*last)), "crash at operation %zu, then %zu", point, second);
+                }
+            }
+        }
+    }
+    cr_log_info("outcomes %zu", outcomes);
+}
+
+// Guards against acknowledgements after a failed write or sync, and against a store that stays unusable once there is
+// space again.
+Test(crash, every_failed_operation_stops_acknowledgements_until_loaded_again)
+{
+    const auto calls = exampleCalls();
+    bool failed = true;
+    for (std::size_t point = 0; failed; ++point) {
+        fake_disk disk;
+        data_folder data(disk.files(), "data", 7);
+        log_store store(data, "domain", smallSegment);
+        store.load();
+        disk.failFrom = disk.operations + point;
+        run_result result;
+        log_model model;
+        failed = false;
+        for (const auto& call : calls) {
+            const auto parts = model.apply(call);
+            result.allowed.insert(result.allowed.end(), parts.begin(), parts.end());
+            try {
+                make(store, call);
+            } catch (const chervilport_error& error) {
+                cr_assert(error.kind() == error_kind::StorageFailure);
+                failed = true;
+                break;
+            }
+            result.allowed = { model.state };
+        }
+        if (!failed)
+            break;
+        // The disk works again, but the store does not know what it holds.
+        disk.failUntil = disk.operations;
+        cr_assert_throw(make(store, calls[0]), chervilport_error);
+        cr_assert_throw(store.saveSnapshot(snapshotAt(99, 9)), chervilport_error);
+        const auto found = store.load();
+        cr_assert(isAllowed(result, found), "failure at operation %zu", point);
+        // What is found after a failure survives the loss of everything that is not synced.
+        for (const auto& state : disk.crashStates())
+            cr_assert(same(reopen(*state), found));
+    }
+}
+
+// Guards against a log that is given up under the old incarnation: a member without its vote that the others count on.
+Test(crash, quarantine_never_leaves_the_old_incarnation_without_its_log)
+{
+    bool crashed = true;
+    for (std::size_t point = 0; crashed; ++point) {
+        fake_disk disk;
+        run(disk, exampleCalls());
+        disk.crashAt = disk.operations + point;
+        crashed = false;
+        try {
+            data_folder data(disk.files(), "data", 8);
+            log_store::quarantine(data, "domain", 8);
+        } catch (const simulated_crash&) {
+            crashed = true;
+        }
+        for (const auto& state : disk.crashStates()) {
+            data_folder data(state->files(), "data", 9);
+            log_store store(data, "domain", smallSegment);
+            const bool kept = store.load().hard.term != 0;
+            cr_assert(kept || data.incarnation() == 8);
+            cr_assert(crashed || !kept);
+        }
+    }
+}
+
+namespace {
+
+/// Returns a random call that follows the model.
+store_call anyCall(const log_model& model)
+{
+    store_call call;
+    const auto term = model.state.hard.term;
+    if (*rc::gen::inRange(0, 3) == 0)
+        call.hard = hard_state { term + 1, member_id { *rc::gen::inRange<std::uint64_t>(1, 4) } };
+    auto base = model.base();
+    auto last = model.last();
+    if (*rc::gen::inRange(0, 5) == 0) {
+        call.isLocal = !call.hard && last > base && *rc::gen::arbitrary<bool>();
+        const auto limit = call.isLocal ? last + 1 : last + 4;
+        const auto index = *rc::gen::inRange<std::uint64_t>(base + 1, limit + 1 > base + 2 ? limit : base + 2);
+        const bool known = index <= last;
+        const auto snapshotTerm = known && (call.isLocal || *rc::gen::arbitrary<bool>())
+            ? model.state.entries[index - base - 1].term
+            : term + 100;
+        call.taken = snapshotAt(index, snapshotTerm, *rc::gen::inRange<std::size_t>(0, 1200));
+        if (call.isLocal)
+            return call;
+        last = known && snapshotTerm != term + 100 ? last : index;
+        base = index;
+    }
+    const auto count = *rc::gen::inRange<std::size_t>(0, 4);
+    const auto first = *rc::gen::inRange<std::uint64_t>(base + 1, last + 2);
+    if (count > 0)
+        call.entries = entriesFrom(first, count, term + 1, *rc::gen::inRange<std::size_t>(0, 900));
+    return call;
+}
+
+} // namespace
+
+// Guards against sequences that the fixed one does not cover, with a crash at a random point of each.
+Test(crash, random_calls_match_the_model)
+{
+    cr_assert(rc::check([] {
+        log_model shadow;
+        std::vector<store_call> calls;
+        const auto count = *rc::gen::inRange(1, 25);
+        for (int i = 0; i < count; ++i) {
+            calls.push_back(anyCall(shadow));
+            shadow.apply(calls.back());
+        }
+        fake_disk whole;
+        RC_ASSERT(same(run(whole, calls).allowed.back(), shadow.state));
+        RC_ASSERT(same(reopen(whole), shadow.state));
+        fake_disk disk;
+        disk.crashAt = *rc::gen::inRange<std::size_t>(0, whole.operations);
+        const auto result = run(disk, calls);
+        for (const auto& state : disk.crashStates())
+            RC_ASSERT(isAllowed(result, reopen(*state)));
+    }));
+}
--- /dev/null
+++ b/tests/storage/log_model.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "chervilport/consensus/persisted_state.h"
+#include "chervilport/storage/log_store.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilport {
+
+/// One call to a store.
+struct store_call {
+    /// Term and vote to persist.
+    std::optional<hard_state> hard;
+    /// Snapshot, received from the leader or taken here.
+    std::optional<snapshot> taken;
+    /// Whether the snapshot goes to `saveSnapshot`.
+    bool isLocal = false;
+    /// Entries to append.
+    std::vector<log_entry> entries;
+};
+
+/// Makes the call on a store.
+inline void make(log_store& store, const store_call& call)
+{
+    if (call.isLocal)
+        store.saveSnapshot(*call.taken);
+    else
+        store.persist(call.hard, call.taken, call.entries);
+}
+
+inline bool same(const persisted_state& one, const persisted_state& other)
+{
+    return one.hard == other.hard && one.lastSnapshot == other.lastSnapshot && one.entries == other.entries;
+}
+
+/// What a store has to hold, as simple as possible.
+struct log_model {
+    /// The state.
+    persisted_state state;
+
+    /// Returns the last index of the log.
+    std::uint64_t last() const { return base() + state.entries.size(); }
+    /// Returns the last index that the snapshot covers.
+    std::uint64_t base() const { return state.lastSnapshot ? state.lastSnapshot->index : 0; }
+
+    /// Applies a call and returns the states after each of its parts, the whole call last.
+    std::vector<persisted_state> apply(const store_call& call)
+    {
+        std::vector<persisted_state> states;
+        if (call.hard && call.taken) {
+            state.hard = *call.hard;
+            states.push_back(state);
+        }
+        if (call.taken) {
+            cover(*call.taken);
+            states.push_back(state);
+        }
+        if (call.hard)
+            state.hard = *call.hard;
+        for (const auto& entry : call.entries) {
+            state.entries.resize(entry.index - base() - 1);
+            state.entries.push_back(entry);
+        }
+        states.push_back(state);
+        return states;
+    }
+
+private:
+    void cover(const snapshot& taken)
+    {
+        if (taken.index <= base())
+            return;
+        const auto position = taken.index - base() - 1;
+        const bool matches = position < state.entries.size() && state.entries[position].term == taken.term;
+        const auto dropped = matches ? position + 1 : state.entries.size();
+        state.entries.erase(state.entries.begin(), state.entries.begin() + static_cast<std::ptrdiff_t>(dropped));
+        state.lastSnapshot = taken;
+    }
+};
+
+/// Returns entries of one term from an index on.
+inline std::vector<log_entry> entriesFrom(
+    std::uint64_t first, std::size_t count, std::uint64_t term, std::size_t payloadBytes = 10)
+{
+    std::vector<log_entry> entries;
+    entries.reserve(count);
+    for (std::uint64_t index = first; index < first + count; ++index)
+        entries.push_back({ index, term, entry_kind::Data,
+            std::string(payloadBytes, static_cast<char>('a' + index % 26)) + std::to_string(index) });
+    return entries;
+}
+
+/// Returns a snapshot.
+inline snapshot snapshotAt(std::uint64_t index, std::uint64_t term, std::size_t bytes = 30)
+{
+    return { index, term, { { { member_id { 1 }, 5, true } }, {} }, std::string(bytes, 's') };
+}
+
+/// A sequence that covers votes, replaced entries, own and received snapshots with and without a matching entry, new
+/// segments and records longer than a sector.
+inline std::vector<store_call> exampleCalls()
+{
+    const hard_state voted { 1, member_id { 2 } };
+    const hard_state second { 2, std::nullopt };
+    const hard_state third { 3, member_id { 1 } };
+    return {
+        { voted, std::nullopt, false, {} },
+        { std::nullopt, std::nullopt, false, entriesFrom(1, 3, 1) },
+        { second, std::nullopt, false, entriesFrom(3, 3, 2, 700) },
+        { std::nullopt, snapshotAt(2, 1), true, {} },
+        { std::nullopt, std::nullopt, false, entriesFrom(6, 4, 2) },
+        { third, snapshotAt(20, 3), false, entriesFrom(21, 2, 3) },
+        { std::nullopt, std::nullopt, false, entriesFrom(22, 3, 4, 1500) },
+        { std::nullopt, snapshotAt(22, 4), false, {} },
+        { std::nullopt, snapshotAt(24, 4, 600), true, {} },
+        { hard_state { 5, std::nullopt }, std::nullopt, false, entriesFrom(25, 2, 5) },
+        { std::nullopt, snapshotAt(26, 6), false, entriesFrom(27, 1, 6) },
+    };
+}
+
+} // namespace chervilport
