--- /dev/null
+++ b/chervilport/routing/admission_queue.cpp
@@ -0,0 +1,185 @@
+#include "chervilport/routing/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Shortest time after which a refused caller should ask again.
+    constexpr log_duration shortestRetryAfter = std::chrono::seconds(1);
+
+    std::size_t lengthOf(const admission_lane& lane)
+    {
+        std::size_t length = 0;
+        for (const auto& entries : lane.waiting)
+            length += entries.size();
+        return length;
+    }
+
+    log_time overdueAt(const admission_queue& queue, const admission_entry& entry)
+    {
+        return std::min(entry.deadline, entry.offeredAt + queue.settings.longestWait);
+    }
+
+    void noteRemoved(admission_queue& queue, std::map<std::string, admission_lane>::iterator lane)
+    {
+        --queue.length;
+        if (lengthOf(lane->second) == 0)
+            queue.lanes.erase(lane);
+    }
+
+    // Makes room in a full queue at the cost of the longest lane; the newest of its least urgent requests leaves, as it
+    // has waited least.
+    std::optional<std::uint64_t> displaceFor(admission_queue& queue, const std::string& workspace)
+    {
+        auto longest = queue.lanes.end();
+        for (auto lane = queue.lanes.begin(); lane != queue.lanes.end(); ++lane) {
+            if (longest == queue.lanes.end() || lengthOf(lane->second) > lengthOf(longest->second))
+                longest = lane;
+        }
+        const auto own = queue.lanes.find(workspace);
+        const auto ownLength = own == queue.lanes.end() ? 0 : lengthOf(own->second);
+        if (longest == queue.lanes.end() || ownLength + 1 >= lengthOf(longest->second))
+            return std::nullopt;
+        auto& waiting = longest->second.waiting;
+        const auto entries
+            = std::find_if(waiting.rbegin(), waiting.rend(), [](const auto& some) { return !some.empty(); });
+        const auto id = entries->back().id;
+        entries->pop_back();
+        noteRemoved(queue, longest);
+        return id;
+    }
+
+    std::deque<admission_entry>& chooseClass(admission_lane& lane, bool takesOldest)
+    {
+        std::deque<admission_entry>* chosen = nullptr;
+        for (auto& entries : lane.waiting) {
+            if (entries.empty())
+                continue;
+            if (!chosen || (takesOldest && entries.front().offeredAt < chosen->front().offeredAt))
+                chosen = &entries;
+        }
+        assert(chosen);
+        return *chosen;
+    }
+
+    void notePace(admission_queue& queue, log_time now)
+    {
+        // Only intervals during which requests waited show the pace of the slots.
+        if (queue.lastTaken) {
+            const auto interval = now - *queue.lastTaken;
+            const auto change = static_cast<double>((interval - queue.meanInterval).count());
+            queue.meanInterval = queue.meanInterval.count() == 0 ? interval
+                                                                 : queue.meanInterval
+                    + log_duration(static_cast<log_duration::rep>(queue.settings.weightOfNew * change));
+        }
+        if (queue.length > 0)
+            queue.lastTaken = now;
+        else
+            queue.lastTaken.reset();
+    }
+
+} // namespace
+
+log_duration expectedWait(const admission_queue& queue, const std::string& workspace)
+{
+    // Each turn of this workspace comes with one of every other that still waits.
+    const auto own = queue.lanes.find(workspace);
+    const auto position = (own == queue.lanes.end() ? 0 : lengthOf(own->second)) + 1;
+    std::size_t ahead = 0;
+    for (const auto& [name, lane] : queue.lanes)
+        ahead += std::min(lengthOf(lane), position);
+    return queue.meanInterval * static_cast<log_duration::rep>(ahead);
+}
+
+admission_offer offerRequest(admission_queue& queue, admission_entry entry, log_time now)
+{
+    entry.offeredAt = now;
+    const auto wait = expectedWait(queue, entry.workspace);
+    if (now + wait > overdueAt(queue, entry))
+        return { false, std::max(wait, shortestRetryAfter), std::nullopt };
+
+    admission_offer offer;
+    if (queue.length >= queue.settings.largestLength) {
+        offer.displaced = displaceFor(queue, entry.workspace);
+        if (!offer.displaced)
+            return { false, std::max(wait, shortestRetryAfter), std::nullopt };
+    }
+    const auto [lane, isNew] = queue.lanes.try_emplace(entry.workspace);
+    // A workspace that did not wait has no claim to the turns of that time.
+    if (isNew)
+        lane->second.turn = queue.turn;
+    lane->second.waiting.at(static_cast<std::size_t>(entry.priority)).push_back(std::move(entry));
+    ++queue.length;
+    offer.isAdmitted = true;
+    return offer;
+}
+
+std::optional<admission_entry> takeRequest(admission_queue& queue, log_time now)
+{
+    if (queue.lanes.empty())
+        return std::nullopt;
+    const auto next = std::min_element(queue.lanes.begin(), queue.lanes.end(),
+        [](const auto& left, const auto& right) { return left.second.turn < right.second.turn; });
+    auto& lane = next->second;
+    ++lane.turn;
+    queue.turn = lane.turn;
+    const bool takesOldest = lane.turn % static_cast<std::uint64_t>(queue.settings.turnsPerOldest) == 0;
+    auto& entries = chooseClass(lane, takesOldest);
+    auto taken = std::move(entries.front());
+    entries.pop_front();
+    noteRemoved(queue, next);
+    notePace(queue, now);
+    return taken;
+}
+
+bool removeRequest(admission_queue& queue, std::uint64_t id)
+{
+    for (auto lane = queue.lanes.begin(); lane != queue.lanes.end(); ++lane) {
+        for (auto& entries : lane->second.waiting) {
+            const auto found
+                = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry.id == id; });
+            if (found == entries.end())
+                continue;
+            entries.erase(found);
+            noteRemoved(queue, lane);
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<admission_entry> removeOverdue(admission_queue& queue, log_time now)
+{
+    std::vector<admission_entry> overdue;
+    for (auto lane = queue.lanes.begin(); lane != queue.lanes.end();) {
+        const auto current = lane++;
+        for (auto& entries : current->second.waiting) {
+            const auto first = std::stable_partition(
+                entries.begin(), entries.end(), [&](const auto& entry) { return overdueAt(queue, entry) > now; });
+            queue.length -= static_cast<std::size_t>(entries.end() - first);
+            std::move(first, entries.end(), std::back_inserter(overdue));
+            entries.erase(first, entries.end());
+        }
+        if (lengthOf(current->second) == 0)
+            queue.lanes.erase(current);
+    }
+    return overdue;
+}
+
+std::optional<log_time> nextOverdue(const admission_queue& queue)
+{
+    std::optional<log_time> next;
+    for (const auto& [name, lane] : queue.lanes) {
+        for (const auto& entries : lane.waiting) {
+            for (const auto& entry : entries)
+                next = std::min(next.value_or(log_time::max()), overdueAt(queue, entry));
+        }
+    }
+    return next;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/routing/upstream_health.cpp
@@ -0,0 +1,111 @@
+#include "chervilport/routing/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilport {
+
+namespace {
+
+    /// How much an upstream that fails every request counts as more loaded. An upstream that fails at once has no load
+    /// and would otherwise be the first choice for every request until it is ejected.
+    constexpr double failureLoadFactor = 15;
+
+    double failureShareAt(const upstream_health& health, const upstream_health_settings& settings, log_time now)
+    {
+        const std::chrono::duration<double> elapsed = now - health.lastEnd;
+        const std::chrono::duration<double> halfLife = settings.failureHalfLife;
+        return health.failureShare * std::exp2(-elapsed / halfLife);
+    }
+
+    void eject(upstream_health& health, const upstream_health_settings& settings, log_time now)
+    {
+        health.isEjected = true;
+        health.probesPassed = 0;
+        health.pause = settings.firstPause;
+        health.nextProbe = now + health.pause;
+    }
+
+    void noteProbe(upstream_health& health, const upstream_health_settings& settings, bool hasFailed, log_time now)
+    {
+        if (hasFailed) {
+            health.probesPassed = 0;
+            health.pause = std::min(health.pause * 2, settings.longestPause);
+            health.nextProbe = now + health.pause;
+            return;
+        }
+        health.nextProbe = now;
+        if (++health.probesPassed >= settings.probesToReturn)
+            health = {};
+    }
+
+    bool isUnfit(const upstream_health& health, const upstream_health_settings& settings)
+    {
+        return health.failuresInRow >= settings.failuresInRow
+            || (health.attempts >= settings.attemptsBeforeShare && health.failureShare > settings.failureShare);
+    }
+
+} // namespace
+
+bool noteAttempt(
+    health_table& table, const upstream_id& id, attempt_end end, std::size_t ejected, std::size_t total, log_time now)
+{
+    const auto& settings = table.settings;
+    auto& health = table.entries[id];
+    if (end == attempt_end::Refused) {
+        // A probe that was refused has shown nothing; the next one is due after the same pause.
+        if (health.isEjected)
+            health.nextProbe = now + health.pause;
+        return false;
+    }
+    const bool hasFailed = end != attempt_end::Success;
+    if (health.isEjected) {
+        noteProbe(health, settings, hasFailed, now);
+        return false;
+    }
+
+    ++health.attempts;
+    health.failureShare = failureShareAt(health, settings, now);
+    health.lastEnd = now;
+    health.failureShare += settings.weightOfNew * ((hasFailed ? 1.0 : 0.0) - health.failureShare);
+    health.failuresInRow = hasFailed ? health.failuresInRow + 1 : 0;
+    const bool mayEject = static_cast<double>(ejected + 1) <= settings.largestEjectedShare * static_cast<double>(total);
+    if (!isUnfit(health, settings) || !mayEject)
+        return false;
+    eject(health, settings, now);
+    return true;
+}
+
+bool maySend(const health_table& table, const upstream_id& id, bool isIdempotent, log_time now)
+{
+    const auto found = table.entries.find(id);
+    if (found == table.entries.end() || !found->second.isEjected)
+        return true;
+    const auto wait = isIdempotent ? log_duration(0) : table.settings.longestPause;
+    return now >= found->second.nextProbe + wait;
+}
+
+void noteSend(health_table& table, const upstream_id& id, log_time now)
+{
+    const auto found = table.entries.find(id);
+    if (found != table.entries.end() && found->second.isEjected)
+        found->second.nextProbe = now + table.settings.probeTimeout;
+}
+
+bool isEjected(const health_table& table, const upstream_id& id)
+{
+    const auto found = table.entries.find(id);
+    return found != table.entries.end() && found->second.isEjected;
+}
+
+double loadFactor(const health_table& table, const upstream_id& id, log_time now)
+{
+    const auto found = table.entries.find(id);
+    if (found == table.entries.end())
+        return 1;
+    return 1 + failureLoadFactor * failureShareAt(found->second, table.settings, now);
+}
+
+void forgetHealth(health_table& table, const upstream_id& id) { table.entries.erase(id); }
+
+} // namespace chervilport
