Add the request path: filters, claims, pipeline

Cause: callers need one path that answers each request once and truthfully, whatever its executor does.

Change: package chervilport/requests. A claim that ends without a response and without proof that nothing was sent stays uncertain. Responses are dropped before claims when the bound in bytes is reached, so that the bound never lets a request run again.

--- /dev/null
+++ b/chervilport/requests/claim_key.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <tuple>
+
+namespace chervilport {
+
+/// Names a non-idempotent request.
+struct claim_key {
+    /// Workspace of the caller.
+    std::string workspace;
+    /// Key that the caller chose.
+    std::string key;
+
+    friend bool operator==(const claim_key&, const claim_key&) = default;
+    friend bool operator<(const claim_key& left, const claim_key& right)
+    {
+        return std::tie(left.workspace, left.key) < std::tie(right.workspace, right.key);
+    }
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/requests/request_pipeline.cpp
@@ -0,0 +1,392 @@
+#include "chervilport/requests/request_pipeline.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/http/error_response.h"
+#include "chervilport/requests/attempt_judgement.h"
+#include "chervilport/requests/request_filters.h"
+#include "chervilport/requests/request_headers.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Longest wait for the end of a claim to be committed. The answer is true without it; the wait lets a resend find
+    /// the stored response.
+    constexpr log_duration claimEndPatience = std::chrono::seconds(2);
+
+    /// Marks an answer that was stored for an earlier copy of the request.
+    constexpr std::string_view replayedHeader = "Chervilport-Replayed";
+
+} // namespace
+
+request_pipeline::request_pipeline(request_settings settings, routing_state& routing, request_ports ports)
+    : m_settings(std::move(settings))
+    , m_routing(routing)
+    , m_ports(std::move(ports))
+{
+}
+
+void request_pipeline::setAccess(access_policy access, std::set<std::string, std::less<>> workspaces)
+{
+    m_settings.access = std::move(access);
+    m_settings.workspaces = std::move(workspaces);
+}
+
+void request_pipeline::handle(http_request request, http_responder responder)
+{
+    const auto id = ++m_lastId;
+    auto& context = m_requests[id];
+    context.id = id;
+    context.request = std::move(request);
+    context.responder = std::move(responder);
+    context.receivedAt = m_ports.now();
+    m_heldBytes += context.request.body.size();
+    try {
+        applyFilters(context);
+    } catch (const chervilport_error& error) {
+        fail(context, error.kind(), error.what());
+        return;
+    }
+    if (context.isIdempotent)
+        admit(context);
+    else
+        claim(context);
+}
+
+void request_pipeline::applyFilters(request_context& context)
+{
+    checkAccess(context, m_settings);
+    readWorkspaceAndClass(context, m_settings);
+    readDeadline(context, m_settings);
+    readRoute(context);
+    readIdempotency(context);
+    if (m_isDraining)
+        throw chervilport_error(error_kind::Draining, "the instance is stopping");
+    if (m_heldBytes > m_settings.maxHeldBytes)
+        throw chervilport_error(error_kind::Overloaded, "too many bytes of requests are waiting");
+    if (findExecutors(m_routing.registry, context.service, context.receivedAt).empty())
+        throw chervilport_error(error_kind::NoUpstream, "no executor offers the service " + context.service);
+}
+
+request_context* request_pipeline::find(std::uint64_t id)
+{
+    const auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+request_pipeline::service_state& request_pipeline::serviceOf(const request_context& context)
+{
+    const auto [entry, isNew] = m_services.try_emplace(context.service);
+    if (isNew) {
+        entry->second.queue.settings = m_settings.queue;
+        entry->second.retries = { m_settings.retries, m_settings.retries.largest };
+    }
+    return entry->second;
+}
+
+claim_step request_pipeline::makeStep(const request_context& context, claim_step_kind kind) const
+{
+    claim_step step;
+    step.kind = kind;
+    step.key = context.key;
+    step.owner = m_settings.owner;
+    step.number = context.id;
+    step.bodyHash = context.bodyHash;
+    return step;
+}
+
+void request_pipeline::claim(request_context& context)
+{
+    const auto left = context.deadline - context.receivedAt;
+    auto step = makeStep(context, claim_step_kind::Claim);
+    step.runsFor = left + m_settings.claimMargin;
+    m_ports.claims.submit(
+        std::move(step), left, [weak = weak_from_this(), id = context.id](const claim_store_reply& reply) {
+            const auto self = weak.lock();
+            auto* const claimed = self ? self->find(id) : nullptr;
+            if (claimed)
+                self->endClaiming(*claimed, reply);
+        });
+}
+
+void request_pipeline::endClaiming(request_context& context, const claim_store_reply& reply)
+{
+    if (!reply.reply) {
+        // The claim may still be committed; nothing was sent, so it is given back.
+        context.holdsClaim = true;
+        fail(context, reply.failure, "the request could not be claimed");
+        return;
+    }
+    switch (reply.reply->verdict) {
+    case claim_verdict::Granted:
+        context.holdsClaim = true;
+        admit(context);
+        return;
+    case claim_verdict::Completed:
+        if (!reply.reply->response) {
+            fail(context, error_kind::OutcomeUnknown, "the request has run; its response is no longer stored");
+            return;
+        }
+        {
+            auto stored = *reply.reply->response;
+            stored.headers.push_back({ std::string(replayedHeader), "true" });
+            answer(context.id, std::move(stored));
+        }
+        return;
+    case claim_verdict::StillRunning:
+        fail(context, error_kind::StillRunning, "the request with this key is still running");
+        return;
+    case claim_verdict::Uncertain:
+        fail(context, error_kind::OutcomeUnknown, "the request with this key may have run");
+        return;
+    case claim_verdict::KeyReused:
+        fail(context, error_kind::KeyReused, "the key was used for another request");
+        return;
+    case claim_verdict::Full:
+        fail(context, error_kind::Overloaded, "too many claims are stored");
+        return;
+    }
+}
+
+void request_pipeline::admit(request_context& context)
+{
+    const auto now = m_ports.now();
+    if (now >= context.deadline) {
+        fail(context, error_kind::DeadlineExceeded, "the deadline passed before the request was sent");
+        return;
+    }
+    auto& queue = serviceOf(context).queue;
+    const auto service = context.service;
+    const auto offer
+        = offerRequest(queue, { context.id, context.workspace, context.priority, context.deadline, {} }, now);
+    if (offer.displaced) {
+        auto* const displaced = find(*offer.displaced);
+        assert(displaced);
+        displaced->isQueued = false;
+        fail(*displaced, error_kind::Overloaded, "the queue is full", expectedWait(queue, displaced->workspace));
+    }
+    if (!offer.isAdmitted) {
+        fail(context, error_kind::Overloaded, "the queue is full or too slow for the deadline", offer.retryAfter);
+        return;
+    }
+    context.isQueued = true;
+    startWaiting(service);
+}
+
+void request_pipeline::startWaiting(const std::string& service)
+{
+    auto& state = m_services[service];
+    while (state.queue.length > 0) {
+        // Without a free slot nothing is taken, so that the order of the queue stays.
+        request_context any;
+        any.service = service;
+        if (findCandidates(any, true, m_ports.now()).empty())
+            return;
+        const auto entry = takeRequest(state.queue, m_ports.now());
+        auto* const context = find(entry->id);
+        assert(context && context->isQueued);
+        context->isQueued = false;
+        if (m_ports.now() >= context->deadline) {
+            fail(*context, error_kind::DeadlineExceeded, "the deadline passed in the queue");
+            continue;
+        }
+        if (startAttempt(*context))
+            continue;
+        // What is free is not for this request; it waits again, behind the others of its workspace.
+        if (offerRequest(state.queue, *entry, m_ports.now()).isAdmitted)
+            context->isQueued = true;
+        else
+            fail(*context, error_kind::Overloaded, "no suitable executor is free");
+        return;
+    }
+}
+
+std::vector<upstream_candidate> request_pipeline::findCandidates(
+    const request_context& context, bool includesTried, log_time now) const
+{
+    std::vector<upstream_candidate> candidates;
+    for (const auto* const entry : findExecutors(m_routing.registry, context.service, now)) {
+        const auto& id = entry->announcement.id;
+        const auto share = usableSlots(m_routing.slots, id, now);
+        const auto held = m_routing.slots.slots.find(id);
+        if (share == 0 || held->second.inUse >= share)
+            continue;
+        if ((!includesTried && context.tried.contains(id)) || !maySend(m_routing.health, id, context.isIdempotent, now))
+            continue;
+        candidates.push_back(
+            { id, share, held->second.inUse, loadFactor(m_routing.health, id, now), isEjected(m_routing.health, id) });
+    }
+    return candidates;
+}
+
+bool request_pipeline::startAttempt(request_context& context)
+{
+    const auto now = m_ports.now();
+    auto candidates = findCandidates(context, false, now);
+    // An upstream is tried again only when there is no other one at all.
+    const auto present = findExecutors(m_routing.registry, context.service, now);
+    const bool allTried = std::all_of(present.begin(), present.end(),
+        [&](const auto* entry) { return context.tried.contains(entry->announcement.id); });
+    if (candidates.empty() && allTried)
+        candidates = findCandidates(context, true, now);
+    const auto chosen = chooseUpstream(candidates, ++m_ports.seed);
+    if (!chosen)
+        return false;
+    beginAttempt(context, candidates[*chosen]);
+    return true;
+}
+
+void request_pipeline::beginAttempt(request_context& context, const upstream_candidate& chosen)
+{
+    const auto now = m_ports.now();
+    auto& service = serviceOf(context);
+    [[maybe_unused]] const bool hasSlot = takeSlot(m_routing.slots, chosen.id, now);
+    assert(hasSlot);
+    noteSend(m_routing.health, chosen.id, now);
+    if (context.attempts == 0)
+        earnRetry(service.retries);
+    ++service.running;
+    ++context.attempts;
+    context.tried.insert(chosen.id);
+    const auto attempt = m_settings.owner.instance + "-" + std::to_string(m_settings.owner.incarnation) + "-"
+        + std::to_string(context.id) + "-" + std::to_string(context.attempts);
+
+    http_client_request outgoing;
+    outgoing.address = chosen.id.address;
+    outgoing.request = makeUpstreamRequest(context, attempt, now);
+    const auto longest = std::min(context.deadline - now, m_settings.longestAttempt);
+    outgoing.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(longest);
+    outgoing.maxResponseBytes = m_settings.maxResponseBytes;
+    outgoing.reuseConnection = context.isIdempotent;
+    m_ports.send(std::move(outgoing),
+        [weak = weak_from_this(), id = context.id, upstream = chosen.id, attempt](http_result result) {
+            if (const auto self = weak.lock())
+                self->endAttempt(id, upstream, attempt, std::move(result));
+        });
+}
+
+void request_pipeline::endAttempt(
+    std::uint64_t id, const upstream_id& upstream, const std::string& attempt, http_result result)
+{
+    auto* const context = find(id);
+    assert(context);
+    const auto service = context->service;
+    returnSlot(m_routing.slots, upstream);
+    --m_services[service].running;
+    const auto judgement = judgeAttempt(result, attempt, context->isIdempotent);
+    noteHealth(service, upstream, judgement.end);
+    context->mayHaveRun = context->mayHaveRun || judgement.mayHaveRun;
+    if (judgement.hasAnswer)
+        context->upstreamAnswer = makeCallerResponse(std::move(result.response));
+
+    if (!judgement.mayRetry || !retry(*context))
+        fail(*context, judgement.error, judgement.message);
+    startWaiting(service);
+}
+
+bool request_pipeline::retry(request_context& context)
+{
+    if (context.attempts >= m_settings.maxAttempts || m_ports.now() >= context.deadline)
+        return false;
+    if (!spendRetry(serviceOf(context).retries))
+        return false;
+    if (!startAttempt(context))
+        admit(context);
+    return true;
+}
+
+void request_pipeline::noteHealth(const std::string& service, const upstream_id& upstream, attempt_end end)
+{
+    const auto now = m_ports.now();
+    const auto executors = findExecutors(m_routing.registry, service, now);
+    const auto ejected = std::count_if(executors.begin(), executors.end(),
+        [&](const auto* entry) { return isEjected(m_routing.health, entry->announcement.id); });
+    noteAttempt(m_routing.health, upstream, end, static_cast<std::size_t>(ejected), executors.size(), now);
+}
+
+void request_pipeline::fail(
+    request_context& context, error_kind kind, std::string_view message, log_duration retryAfter)
+{
+    // The answer of an upstream says more than an error about the lack of further attempts.
+    if (context.upstreamAnswer) {
+        finish(context, *std::exchange(context.upstreamAnswer, std::nullopt), claim_step_kind::Complete);
+        return;
+    }
+    const auto patience = std::max(retryAfter, log_duration(defaultRetryAfter));
+    auto response = makeRequestError(context, kind, message, patience);
+    finish(context, std::move(response), context.mayHaveRun ? claim_step_kind::Uncertain : claim_step_kind::Release);
+}
+
+void request_pipeline::finish(request_context& context, http_response response, claim_step_kind kind)
+{
+    if (!context.holdsClaim) {
+        answer(context.id, std::move(response));
+        return;
+    }
+    context.holdsClaim = false;
+    auto step = makeStep(context, kind);
+    constexpr std::size_t largestStored = claim_settings().maxResponseBytes;
+    if (kind == claim_step_kind::Complete && response.body.size() <= largestStored)
+        step.response = response;
+    context.pendingAnswer = std::move(response);
+    m_ports.claims.submit(
+        std::move(step), claimEndPatience, [weak = weak_from_this(), id = context.id](const claim_store_reply&) {
+            const auto self = weak.lock();
+            auto* const ended = self ? self->find(id) : nullptr;
+            if (ended)
+                self->answer(id, std::move(*ended->pendingAnswer));
+        });
+}
+
+void request_pipeline::answer(std::uint64_t id, http_response response)
+{
+    const auto node = m_requests.extract(id);
+    assert(node);
+    const auto& context = node.mapped();
+    m_heldBytes -= context.request.body.size();
+    if (m_ports.observe) {
+        m_ports.observe({ context.workspace, context.priority, context.service, response.status, context.attempts,
+            m_ports.now() - context.receivedAt });
+    }
+    (*context.responder)(std::move(response));
+}
+
+void request_pipeline::poll()
+{
+    const auto now = m_ports.now();
+    for (auto& [service, state] : m_services) {
+        for (const auto& entry : removeOverdue(state.queue, now)) {
+            auto* const context = find(entry.id);
+            assert(context);
+            context->isQueued = false;
+            if (now >= context->deadline)
+                fail(*context, error_kind::DeadlineExceeded, "the deadline passed in the queue");
+            else
+                fail(*context, error_kind::Overloaded, "the wait in the queue was too long",
+                    expectedWait(state.queue, context->workspace));
+        }
+        startWaiting(service);
+    }
+}
+
+std::map<std::string, std::int32_t> request_pipeline::demand() const
+{
+    std::map<std::string, std::int32_t> demand;
+    for (const auto& [service, state] : m_services)
+        demand[service] = state.running + static_cast<std::int32_t>(state.queue.length);
+    return demand;
+}
+
+std::size_t request_pipeline::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto& [service, state] : m_services)
+        sum += state.queue.length;
+    return sum;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/requests/request_pipeline.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "chervilport/requests/request_context.h"
+#include "chervilport/requests/request_ports.h"
+#include "chervilport/requests/request_settings.h"
+#include "chervilport/requests/routing_state.h"
+#include "chervilport/routing/upstream_choice.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chervilport {
+
+/// The path of requests from callers to executors: access, workspace and class, deadline, claim, admission, route,
+/// attempt, answer. Each request is answered exactly once. All functions are called on the io thread.
+class request_pipeline : public std::enable_shared_from_this<request_pipeline> {
+public:
+    /// Creates a path without requests. The routing state must outlive it.
+    request_pipeline(request_settings, routing_state&, request_ports);
+
+    /// Takes a request whose target starts with requestTargetPrefix.
+    void handle(http_request, http_responder);
+
+    /// Starts what can be started and ends what is overdue. To be called after every change of the routing state and at
+    /// least every 50 ms.
+    void poll();
+
+    /// Refuses new requests from now on; those accepted before are finished.
+    void beginDrain() { m_isDraining = true; }
+
+    /// Replaces access rules and known workspaces after a change of the configuration.
+    void setAccess(access_policy, std::set<std::string, std::less<>> workspaces);
+
+    /// Returns the number of requests without an answer.
+    std::size_t inFlight() const { return m_requests.size(); }
+
+    /// Returns the requests running and waiting, by service, for the report to the leader.
+    std::map<std::string, std::int32_t> demand() const;
+
+    /// Returns the requests waiting for a slot.
+    std::size_t waiting() const;
+
+private:
+    struct service_state {
+        admission_queue queue;
+        retry_budget retries;
+        std::int32_t running = 0;
+    };
+
+    void applyFilters(request_context&);
+    void claim(request_context&);
+    void endClaiming(request_context&, const claim_store_reply&);
+    void admit(request_context&);
+    void startWaiting(const std::string& service);
+    bool startAttempt(request_context&);
+    std::vector<upstream_candidate> findCandidates(const request_context&, bool includesTried, log_time now) const;
+    void beginAttempt(request_context&, const upstream_candidate&);
+    void endAttempt(std::uint64_t id, const upstream_id&, const std::string& attempt, http_result);
+    void noteHealth(const std::string& service, const upstream_id&, attempt_end);
+    bool retry(request_context&);
+    void fail(request_context&, error_kind, std::string_view message, log_duration retryAfter = {});
+    void finish(request_context&, http_response, claim_step_kind);
+    void answer(std::uint64_t id, http_response);
+    claim_step makeStep(const request_context&, claim_step_kind) const;
+    service_state& serviceOf(const request_context&);
+    request_context* find(std::uint64_t id);
+
+    request_settings m_settings;
+    routing_state& m_routing;
+    request_ports m_ports;
+    std::map<std::uint64_t, request_context> m_requests;
+    std::map<std::string, service_state> m_services;
+    std::uint64_t m_lastId = 0;
+    std::size_t m_heldBytes = 0;
+    bool m_isDraining = false;
+};
+
+} // namespace chervilport
