--- a/apps/chervilportd/main.cpp
+++ b/apps/chervilportd/main.cpp
@@ -15,11 +15,13 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--check-config]
+constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--initialize] [--check-config]
 
 Runs one instance of chervilport. Without a file it runs alone on 127.0.0.1:7400 and keeps no state on disk.
 
   -c, --config FILE    read settings from the TOML file
+      --initialize     begin the replication groups of a new cluster: for the very first start of one instance with a
+                       disk in each failure domain; ignored once the data folder holds a log
       --check-config   check the settings, print every fault, and exit
   -h, --help           print this text
       --version        print the version
@@ -30,10 +32,12 @@
 struct options {
     std::string configFile;
     bool checkOnly = false;
+    bool initialize = false;
 };
 
 enum long_option : int {
     CheckConfig = 256,
+    Initialize,
     Version,
 };
 
@@ -43,6 +47,7 @@
     static const option longOptions[] = {
         { "config", required_argument, nullptr, 'c' },
         { "check-config", no_argument, nullptr, CheckConfig },
+        { "initialize", no_argument, nullptr, Initialize },
         { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, Version },
         {},
@@ -56,6 +61,9 @@
         case CheckConfig:
             given.checkOnly = true;
             break;
+        case Initialize:
+            given.initialize = true;
+            break;
         case 'h':
             std::cout << usage;
             return exitOk;
@@ -91,6 +99,7 @@
         return exitOk;
     }
 
+    settings.values.initialize = given.initialize;
     setUpLog(settings.values.logLevel, settings.values.logFile);
     instance served(settings.values);
     served.run();
--- a/chervilport/instance/control_plane.cpp
+++ b/chervilport/instance/control_plane.cpp
@@ -4,6 +4,8 @@
 #include "chervilport/http/error_response.h"
 #include "chervilport/instance/control_api.h"
 #include "chervilport/instance/domain_controller.h"
+#include "chervilport/instance/group_bootstrap.h"
+#include "chervilport/instance/instance_storage.h"
 #include "chervilport/instance/job_controller.h"
 #include "chervilport/instance/job_json.h"
 #include "chervilport/instance/monotonic_now.h"
@@ -18,7 +20,6 @@
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -44,28 +45,13 @@
         return "unknown";
     }
 
-    replica_config domainReplicaConfig(const settings& values)
-    {
-        replica_config config;
-        config.self = { static_cast<member_id>(values.instanceId), 1, !values.dataFolder.empty() };
-        config.heartbeat = values.domainHeartbeat;
-        config.electionTimeout = values.domainElection;
-        config.seed = std::random_device {}();
-        for (const auto& listed : values.instances) {
-            if (listed.domainVoter && listed.failureDomain == values.failureDomain)
-                config.initial.voters.push_back({ static_cast<member_id>(listed.id), 1, listed.hasDisk });
-        }
-        if (values.instances.empty())
-            config.initial.voters.push_back(config.self);
-        return config;
-    }
-
 } // namespace
 
 struct control_plane::implementation : std::enable_shared_from_this<control_plane::implementation> {
     implementation(settings given, control_plane_hooks givenHooks)
         : values(std::move(given))
         , hooks(std::move(givenHooks))
+        , storage(values.dataFolder)
         , guard(asio::make_work_guard(context))
     {
     }
@@ -80,6 +66,7 @@
 
     settings values;
     control_plane_hooks hooks;
+    instance_storage storage;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     std::shared_ptr<peer_network> peers;
@@ -178,8 +165,9 @@
         if (const auto self = weak.lock())
             self->statusChanged(status);
     };
-    group = std::make_shared<replica_group>(
-        context, "domain log", domainReplicaConfig(values), makeVolatileStorage(), std::move(groupHooks));
+    group
+        = std::make_shared<replica_group>(context, "domain log", makeGroupConfig(values, group_scope::Domain, storage),
+            storage.openGroup(groupName(group_scope::Domain)), std::move(groupHooks));
     domain->attach(group);
 
     // The controllers that act on it.
@@ -226,7 +214,7 @@
         if (const auto self = weak.lock())
             self->api->handle(call);
     };
-    peers = std::make_shared<peer_network>(context, values, group->self().incarnation, std::move(linkHooks));
+    peers = std::make_shared<peer_network>(context, values, storage.incarnation(), std::move(linkHooks));
 }
 
 void control_plane::implementation::observe(std::span<const command> commands) const
--- /dev/null
+++ b/chervilport/instance/group_bootstrap.cpp
@@ -0,0 +1,53 @@
+#include "chervilport/instance/group_bootstrap.h"
+
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/instance/instance_storage.h"
+
+#include <random>
+
+namespace chervilport {
+
+namespace {
+
+    bool isVoterOf(const settings& values, group_scope scope, const instance_address& listed)
+    {
+        if (scope == group_scope::Fleet)
+            return listed.fleetVoter;
+        return listed.domainVoter && listed.failureDomain == values.failureDomain;
+    }
+
+    membership firstMembership(const settings& values, group_scope scope, const member& self)
+    {
+        membership members;
+        members.voters.push_back(self);
+        for (const auto& listed : values.instances) {
+            if (listed.id == values.instanceId || !isVoterOf(values, scope, listed))
+                continue;
+            // No instance has incarnation 0, so that the first answer under any other one admits it.
+            members.learners.push_back({ static_cast<member_id>(listed.id), 0, listed.hasDisk, true });
+        }
+        return members;
+    }
+
+} // namespace
+
+std::string groupName(group_scope scope) { return scope == group_scope::Domain ? "domain" : "fleet"; }
+
+replica_config makeGroupConfig(const settings& values, group_scope scope, const instance_storage& storage)
+{
+    replica_config config;
+    config.self = { static_cast<member_id>(values.instanceId), storage.incarnation(), storage.hasDisk() };
+    config.heartbeat = scope == group_scope::Domain ? values.domainHeartbeat : values.fleetHeartbeat;
+    config.electionTimeout = scope == group_scope::Domain ? values.domainElection : values.fleetElection;
+    config.seed = std::random_device {}();
+
+    const bool alone = values.instances.size() < 2;
+    if (!alone && values.initialize && !storage.hasDisk())
+        throw chervilport_error(
+            error_kind::InvalidRequest, "only an instance with a data folder may initialize a cluster");
+    if ((alone || values.initialize) && !storage.hasGroup(groupName(scope)))
+        config.initial = firstMembership(values, scope, config.self);
+    return config;
+}
+
+} // namespace chervilport
