Join the request path to the instance

Cause: requests to executors had no process to run in. Change: the data plane runs on the io thread, claims go through the domain log on the control thread, share reports and announcements travel as notices between instances; planned stop serves new requests for a grace time, then finishes what is in flight; metrics and upstream calls are served. An error thrown by a handler destroyed the responder and became 'internal'; handlers now share it.

--- a/chervilport/instance/control_api.cpp
+++ b/chervilport/instance/control_api.cpp
@@ -106,6 +106,10 @@
         call->reply({ 200, { { "Content-Type", "application/json" } }, m_hooks.describeStatus() });
         return;
     }
+    if (path == claimPath) {
+        serveClaim(call);
+        return;
+    }
     throw chervilport_error(error_kind::NotFound, "there is nothing at this path");
 }
 
@@ -147,14 +151,15 @@
     });
 }
 
+void control_api::serveClaim(const std::shared_ptr<control_call>& call)
+{
+    onLeader(call, [this, call] { m_hooks.applyClaim(call->request.body, call->reply); });
+}
+
 void control_api::serveAnnouncement(const std::shared_ptr<control_call>& call)
 {
     if (call->request.method != "POST")
         refuseMethod(call->request);
-    if (!announcesWorker(call->request.body)) {
-        call->reply(m_hooks.announceExecutor(call->request.body));
-        return;
-    }
     auto announcement = parseWorkerAnnouncement(call->request.body);
     onLeader(
         call, [this, call, announcement = std::move(announcement)] { m_workers->announce(announcement, call->reply); });
--- a/chervilport/instance/control_api.h
+++ b/chervilport/instance/control_api.h
@@ -30,8 +30,8 @@
     std::function<std::vector<std::uint64_t>(std::string_view failureDomain)> instancesOf;
     /// Returns the status document of this instance as JSON text.
     std::function<std::string()> describeStatus;
-    /// Takes an announcement of an executor.
-    std::function<http_response(std::string_view body)> announceExecutor;
+    /// Applies an encoded step of a claim on the leader and answers with the encoded reply.
+    std::function<void(std::string step, std::function<void(http_response)> reply)> applyClaim;
 };
 
 /// The control interface: routes each call to the controller that serves it, here or on the instance that leads the
@@ -42,12 +42,16 @@
     control_api(asio::io_context&, std::string failureDomain, std::shared_ptr<replica_group> domainGroup,
         std::shared_ptr<job_controller>, std::shared_ptr<worker_controller>, control_api_hooks);
 
+    /// Path of the steps of claims, for other instances and for this one, but not for callers.
+    static constexpr std::string_view claimPath = "/internal/claims";
+
     /// Answers a call exactly once.
     void handle(const std::shared_ptr<control_call>&);
 
 private:
     void serve(const std::shared_ptr<control_call>&);
     void serveJobs(const std::shared_ptr<control_call>&, std::string_view path, std::string_view query);
+    void serveClaim(const std::shared_ptr<control_call>&);
     void serveAnnouncement(const std::shared_ptr<control_call>&);
     void onLeader(const std::shared_ptr<control_call>&, const std::function<void()>& action);
     void forwardTo(const std::shared_ptr<control_call>&, std::uint64_t instance);
--- a/chervilport/instance/control_plane.cpp
+++ b/chervilport/instance/control_plane.cpp
@@ -13,6 +13,7 @@
 #include "chervilport/instance/replica_group.h"
 #include "chervilport/instance/worker_controller.h"
 #include "chervilport/logging/log.h"
+#include "chervilport/requests/claim_reply_codec.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -29,6 +30,7 @@
 
     constexpr std::string_view part = "control";
     constexpr std::chrono::milliseconds stopPollInterval { 20 };
+    constexpr int okStatus = 200;
 
     std::string_view roleName(replica_role role)
     {
@@ -62,6 +64,10 @@
     void statusChanged(const replica_status&);
     std::string describeStatus() const;
     void forward(std::uint64_t instance, const control_call&, const std::function<void(forward_outcome)>&);
+    void applyClaim(std::string_view step, std::function<void(http_response)> reply);
+    void submitClaim(const claim_step&, log_duration patience, std::function<void(claim_store_reply)> done);
+    std::vector<std::uint64_t> domainPeers() const;
+    void notify(std::uint64_t instance, const std::string& notice);
     void pollStop(log_time until, std::function<void()> done);
 
     settings values;
@@ -76,6 +82,7 @@
     std::shared_ptr<job_controller> jobs;
     std::shared_ptr<control_api> api;
     std::atomic<bool> ready { false };
+    bool leading = false;
     std::thread thread;
 };
 
@@ -133,6 +140,38 @@
     asio::post(m_implementation->context, [self = m_implementation, call] { self->api->handle(call); });
 }
 
+void control_plane::notifyDomain(std::string notice)
+{
+    asio::post(m_implementation->context, [self = m_implementation, notice = std::move(notice)] {
+        if (self->peers)
+            self->peers->notify(self->domainPeers(), notice);
+    });
+}
+
+void control_plane::notifyLeader(std::string notice)
+{
+    asio::post(m_implementation->context, [self = m_implementation, notice = std::move(notice)] {
+        if (const auto leader = self->group->status().leader)
+            self->notify(static_cast<std::uint64_t>(*leader), notice);
+    });
+}
+
+void control_plane::notifyInstance(std::uint64_t instance, std::string notice)
+{
+    asio::post(m_implementation->context,
+        [self = m_implementation, instance, notice = std::move(notice)] { self->notify(instance, notice); });
+}
+
+void control_plane::submitClaim(claim_step step, log_duration patience, std::function<void(claim_store_reply)> done)
+{
+    asio::post(m_implementation->context,
+        [self = m_implementation, step = std::move(step), patience, done = std::move(done)]() mutable {
+            self->submitClaim(step, patience, std::move(done));
+        });
+}
+
+std::uint64_t control_plane::incarnation() const { return m_implementation->storage.incarnation(); }
+
 bool control_plane::isReady() const { return m_implementation->ready; }
 
 void control_plane::implementation::build()
@@ -194,7 +233,10 @@
         const auto self = weak.lock();
         return self ? self->describeStatus() : std::string("{}");
     };
-    apiHooks.announceExecutor = hooks.announceExecutor;
+    apiHooks.applyClaim = [weak](const std::string& step, std::function<void(http_response)> reply) {
+        if (const auto self = weak.lock())
+            self->applyClaim(step, std::move(reply));
+    };
     api = std::make_shared<control_api>(context, values.failureDomain, group, jobs, workers, std::move(apiHooks));
 }
 
@@ -208,7 +250,10 @@
         if (const auto self = weak.lock(); self && scope == replication_scope::Domain)
             self->group->receive(received);
     };
-    linkHooks.receiveNotice = [](std::uint64_t, const std::string&) {};
+    linkHooks.receiveNotice = [weak](std::uint64_t instance, const std::string& notice) {
+        if (const auto self = weak.lock())
+            self->hooks.receiveNotice(instance, notice);
+    };
     linkHooks.observeConfiguration = [](std::uint64_t, std::uint64_t) {};
     linkHooks.serve = [weak](const std::shared_ptr<control_call>& call) {
         if (const auto self = weak.lock())
@@ -233,8 +278,13 @@
 {
     ready = status.leader.has_value() && !group->hasFailed();
     const bool leads = status.role == replica_role::Leader && status.ready;
-    workers->leadershipChanged(leads);
+    if (leads != leading)
+        workers->leadershipChanged(leads);
     domain->statusChanged(status);
+    if (leads != leading) {
+        leading = leads;
+        hooks.leadershipChanged(leads, status.term);
+    }
     // Until the fleet's log delivers a configuration, the built-in one is in force.
     if (leads && configurationVersion(domain->schedule()) == 0) {
         configuration_changed initial;
@@ -275,6 +325,53 @@
         done({ std::nullopt, true, "instance " + std::to_string(instance) + " cannot be reached" });
 }
 
+void control_plane::implementation::applyClaim(std::string_view step, std::function<void(http_response)> reply)
+{
+    domain->submitClaim(
+        decodeClaimStep(step), [reply = std::move(reply)](proposal_result result, const claim_reply& answer) {
+            if (result == proposal_result::Committed)
+                reply({ 200, {}, encodeClaimReply(answer) });
+            else if (result == proposal_result::NotCommitted)
+                reply(makeErrorResponse(error_kind::NotLeader, "this instance does not lead the domain"));
+            else
+                reply(
+                    makeErrorResponse(error_kind::OutcomeUnknown, "leadership was lost before the step was confirmed"));
+        });
+}
+
+void control_plane::implementation::submitClaim(
+    const claim_step& step, log_duration patience, std::function<void(claim_store_reply)> done)
+{
+    auto call = std::make_shared<control_call>();
+    call->request = { "POST", std::string(control_api::claimPath), {}, encodeClaimStep(step) };
+    call->deadline = monotonicNow() + patience;
+    call->reply = [done = std::move(done)](const http_response& response) {
+        if (response.status == okStatus)
+            done({ decodeClaimReply(response.body), error_kind::Unavailable });
+        else
+            done({ std::nullopt, error_kind::Unavailable });
+    };
+    api->handle(call);
+}
+
+std::vector<std::uint64_t> control_plane::implementation::domainPeers() const
+{
+    std::vector<std::uint64_t> found;
+    for (const auto& listed : values.instances) {
+        if (listed.failureDomain == values.failureDomain && listed.id != values.instanceId)
+            found.push_back(listed.id);
+    }
+    return found;
+}
+
+void control_plane::implementation::notify(std::uint64_t instance, const std::string& notice)
+{
+    if (instance == values.instanceId)
+        hooks.receiveNotice(instance, notice);
+    else if (peers)
+        peers->notify(std::span(&instance, 1), notice);
+}
+
 void control_plane::implementation::pollStop(log_time until, std::function<void()> done)
 {
     if (group->status().role != replica_role::Leader || monotonicNow() >= until) {
--- a/chervilport/instance/control_plane.h
+++ b/chervilport/instance/control_plane.h
@@ -1,12 +1,17 @@
 #pragma once
 
+#include "chervilport/core/log_time.h"
 #include "chervilport/http/http_message.h"
 #include "chervilport/instance/control_plane_hooks.h"
+#include "chervilport/requests/claim_step.h"
+#include "chervilport/requests/claim_store.h"
 #include "chervilport/settings/settings.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace chervilport {
 
@@ -33,6 +38,22 @@
     /// Answers a call to the control interface. The reply is called once, on the control thread.
     void handle(http_request, std::chrono::milliseconds remaining, std::function<void(http_response)> reply);
 
+    /// Sends a notice about routing to all other instances of the domain; it may be lost.
+    void notifyDomain(std::string notice);
+
+    /// Sends a notice about routing to the leader of the domain, this instance included; it may be lost.
+    void notifyLeader(std::string notice);
+
+    /// Sends a notice about routing to one instance, this one included; it may be lost.
+    void notifyInstance(std::uint64_t instance, std::string notice);
+
+    /// Writes a step of a claim to the log of the domain, here or on the leader. `done` is called once, on the control
+    /// thread.
+    void submitClaim(claim_step, log_duration patience, std::function<void(claim_store_reply)> done);
+
+    /// Returns the incarnation of this instance.
+    std::uint64_t incarnation() const;
+
     /// Returns whether the domain has a leader that this instance knows of.
     bool isReady() const;
 
--- a/chervilport/instance/control_plane_hooks.h
+++ b/chervilport/instance/control_plane_hooks.h
@@ -2,9 +2,9 @@
 
 #include "chervilport/http/http_message.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
-#include <string_view>
 
 namespace chervilport {
 
@@ -12,8 +12,10 @@
 struct control_plane_hooks {
     /// Sends a request to the HTTP address of a worker; its answer is not needed.
     std::function<void(const std::string& worker, http_request)> sendToWorker;
-    /// Takes an announcement of an executor and returns the answer to it.
-    std::function<http_response(std::string_view body)> announceExecutor;
+    /// Takes a notice about routing from an instance of the domain, this one included.
+    std::function<void(std::uint64_t instance, const std::string& notice)> receiveNotice;
+    /// Tells whether this instance leads the domain, and in which term.
+    std::function<void(bool leading, std::uint64_t term)> leadershipChanged;
 };
 
 } // namespace chervilport
--- a/chervilport/instance/data_plane.cpp
+++ b/chervilport/instance/data_plane.cpp
@@ -2,11 +2,11 @@
 
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/http/http_client.h"
-#include "chervilport/instance/executor_announcement.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/read_tokens.h"
 #include "chervilport/logging/log.h"
 #include "chervilport/metrics/metric_registry.h"
+#include "chervilport/requests/announcement_codec.h"
 #include "chervilport/requests/request_pipeline.h"
 #include "chervilport/requests/routing_state.h"
 #include "chervilport/routing/slot_ledger.h"
--- a/chervilport/instance/domain_command.cpp
+++ b/chervilport/instance/domain_command.cpp
@@ -8,8 +8,26 @@
 
 namespace {
 
-    constexpr std::size_t timeBytes = 8;
-    constexpr std::size_t prefixBytes = 1 + timeBytes;
+    constexpr std::size_t numberBytes = 8;
+    constexpr std::size_t prefixBytes = 1 + numberBytes;
+
+    void putNumber(std::string& bytes, std::uint64_t number)
+    {
+        for (std::size_t i = 0; i < numberBytes; ++i)
+            bytes.push_back(static_cast<char>(number >> (8 * i) & 0xff));
+    }
+
+    std::uint64_t takeNumber(std::string_view bytes)
+    {
+        std::uint64_t number = 0;
+        for (std::size_t i = 0; i < numberBytes; ++i)
+            number |= std::uint64_t { static_cast<unsigned char>(bytes[i]) } << (8 * i);
+        return number;
+    }
+
+    std::uint64_t ticksOf(log_time time) { return static_cast<std::uint64_t>(time.time_since_epoch().count()); }
+
+    log_time timeOf(std::uint64_t ticks) { return log_time(log_duration(static_cast<std::int64_t>(ticks))); }
 
 } // namespace
 
@@ -18,9 +36,7 @@
     std::string bytes;
     bytes.reserve(prefixBytes + command.content.size());
     bytes.push_back(static_cast<char>(command.kind));
-    const auto ticks = static_cast<std::uint64_t>(command.time.time_since_epoch().count());
-    for (std::size_t i = 0; i < timeBytes; ++i)
-        bytes.push_back(static_cast<char>(ticks >> (8 * i) & 0xff));
+    putNumber(bytes, ticksOf(command.time));
     return bytes + command.content;
 }
 
@@ -31,10 +47,28 @@
     const auto kind = static_cast<domain_command_kind>(bytes[0]);
     if (kind != domain_command_kind::Scheduling && kind != domain_command_kind::Claim)
         throw chervilport_error(error_kind::StorageFailure, "log entry is of an unknown kind");
-    std::uint64_t ticks = 0;
-    for (std::size_t i = 0; i < timeBytes; ++i)
-        ticks |= std::uint64_t { static_cast<unsigned char>(bytes[1 + i]) } << (8 * i);
-    return { kind, log_time(log_duration(static_cast<std::int64_t>(ticks))), std::string(bytes.substr(prefixBytes)) };
+    return { kind, timeOf(takeNumber(bytes.substr(1))), std::string(bytes.substr(prefixBytes)) };
+}
+
+std::string encodeDomainSnapshot(const domain_snapshot& snapshot)
+{
+    std::string bytes;
+    bytes.reserve(2 * numberBytes + snapshot.schedule.size() + snapshot.claims.size());
+    putNumber(bytes, ticksOf(snapshot.time));
+    putNumber(bytes, snapshot.schedule.size());
+    return bytes + snapshot.schedule + snapshot.claims;
+}
+
+domain_snapshot decodeDomainSnapshot(std::string_view bytes)
+{
+    if (bytes.size() < 2 * numberBytes)
+        throw chervilport_error(error_kind::StorageFailure, "the snapshot is too short");
+    const auto time = timeOf(takeNumber(bytes));
+    const auto scheduleBytes = takeNumber(bytes.substr(numberBytes));
+    const auto content = bytes.substr(2 * numberBytes);
+    if (scheduleBytes > content.size())
+        throw chervilport_error(error_kind::StorageFailure, "the snapshot is shorter than it says");
+    return { time, std::string(content.substr(0, scheduleBytes)), std::string(content.substr(scheduleBytes)) };
 }
 
 } // namespace chervilport
--- a/chervilport/instance/domain_command.h
+++ b/chervilport/instance/domain_command.h
@@ -32,4 +32,20 @@
 /// Decodes a command. Throws chervilport_error of kind StorageFailure on bytes that are none.
 domain_command decodeDomainCommand(std::string_view bytes);
 
+/// The state machines of a domain at one point of its log.
+struct domain_snapshot {
+    /// Log time of the last command.
+    log_time time;
+    /// Encoded schedule.
+    std::string schedule;
+    /// Encoded claims.
+    std::string claims;
+};
+
+/// Encodes a snapshot.
+std::string encodeDomainSnapshot(const domain_snapshot&);
+
+/// Decodes a snapshot. Throws chervilport_error of kind StorageFailure on bytes that are none.
+domain_snapshot decodeDomainSnapshot(std::string_view bytes);
+
 } // namespace chervilport
--- a/chervilport/instance/domain_controller.cpp
+++ b/chervilport/instance/domain_controller.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/replica_group.h"
 #include "chervilport/logging/log.h"
+#include "chervilport/requests/claim_step.h"
 #include "chervilport/scheduling/event_codec.h"
 
 #include <algorithm>
@@ -46,8 +47,10 @@
     const auto decoded = decodeDomainCommand(payload);
     m_clock.observe(decoded.time);
     m_lastCommands.clear();
-    if (decoded.kind != domain_command_kind::Scheduling)
+    if (decoded.kind == domain_command_kind::Claim) {
+        m_lastClaimReply = applyClaimStep(m_claims, decodeClaimStep(decoded.content), m_clock.lastApplied());
         return;
+    }
     m_lastCommands = applyEvent(*m_schedule, decodeEvent(decoded.content), m_clock.lastApplied());
     m_hooks.observe(m_lastCommands);
     if (!m_leading)
@@ -58,14 +61,15 @@
 
 std::string domain_controller::takeSnapshot() const
 {
-    return encodeDomainCommand({ domain_command_kind::Scheduling, m_clock.lastApplied(), encodeState(*m_schedule) });
+    return encodeDomainSnapshot({ m_clock.lastApplied(), encodeState(*m_schedule), encodeClaimState(m_claims) });
 }
 
 void domain_controller::loadSnapshot(std::string_view data)
 {
-    const auto decoded = decodeDomainCommand(data);
+    const auto decoded = decodeDomainSnapshot(data);
     m_clock.observe(decoded.time);
-    m_schedule = decodeState(decoded.content);
+    m_schedule = decodeState(decoded.schedule);
+    m_claims = decodeClaimState(decoded.claims);
 }
 
 void domain_controller::statusChanged(const replica_status& status)
@@ -93,8 +97,7 @@
             callback(proposal_result::NotCommitted, {});
         return;
     }
-    const auto stamped = m_leading ? m_clock.stamp(monotonicNow()) : m_clock.lastApplied();
-    auto payload = encodeDomainCommand({ domain_command_kind::Scheduling, stamped, encodeEvent(submitted) });
+    auto payload = encodeDomainCommand({ domain_command_kind::Scheduling, nextStamp(), encodeEvent(submitted) });
     group->propose(
         std::move(payload), [weak = weak_from_this(), callback = std::move(callback)](proposal_result result) {
             const auto self = weak.lock();
@@ -110,7 +113,27 @@
         });
 }
 
-log_time domain_controller::logNow() { return m_leading ? m_clock.stamp(monotonicNow()) : m_clock.lastApplied(); }
+void domain_controller::submitClaim(const claim_step& step, claim_callback callback)
+{
+    const auto group = m_group.lock();
+    if (!group) {
+        callback(proposal_result::NotCommitted, {});
+        return;
+    }
+    auto payload = encodeDomainCommand({ domain_command_kind::Claim, nextStamp(), encodeClaimStep(step) });
+    group->propose(
+        std::move(payload), [weak = weak_from_this(), callback = std::move(callback)](proposal_result result) {
+            const auto self = weak.lock();
+            if (self && result == proposal_result::Committed)
+                callback(result, claim_reply(self->m_lastClaimReply));
+            else
+                callback(result, {});
+        });
+}
+
+log_time domain_controller::logNow() { return nextStamp(); }
+
+log_time domain_controller::nextStamp() { return m_leading ? m_clock.stamp(monotonicNow()) : m_clock.lastApplied(); }
 
 void domain_controller::stop()
 {
--- a/chervilport/instance/domain_controller.h
+++ b/chervilport/instance/domain_controller.h
@@ -4,6 +4,7 @@
 #include "chervilport/core/log_time.h"
 #include "chervilport/instance/log_clock_source.h"
 #include "chervilport/instance/proposal_result.h"
+#include "chervilport/requests/claim_state.h"
 #include "chervilport/scheduling/decision_core.h"
 
 #include <functional>
@@ -57,6 +58,15 @@
     /// Proposes an event; the callback may be empty.
     void submit(const event&, event_callback callback = {});
 
+    /// Called with the reply to a step of a claim, or with nothing when the step is not known to be committed.
+    using claim_callback = std::function<void(proposal_result, const claim_reply&)>;
+
+    /// Proposes a step of a claim.
+    void submitClaim(const claim_step&, claim_callback);
+
+    /// Returns the number of claims remembered and their bytes.
+    const claim_state& claims() const { return m_claims; }
+
     /// Returns the schedule as this replica has applied it.
     const schedule_state& schedule() const { return *m_schedule; }
 
@@ -69,6 +79,7 @@
 private:
     struct timer;
 
+    log_time nextStamp();
     void armWakeTimer();
 
     domain_hooks m_hooks;
@@ -76,7 +87,9 @@
     std::weak_ptr<replica_group> m_group;
     schedule_state_ptr m_schedule;
     log_clock_source m_clock;
+    claim_state m_claims;
     std::vector<command> m_lastCommands;
+    claim_reply m_lastClaimReply;
     bool m_leading = false;
 };
 
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -5,13 +5,19 @@
 #include "chervilport/http/http_client.h"
 #include "chervilport/http/http_listener.h"
 #include "chervilport/instance/control_plane.h"
+#include "chervilport/instance/data_plane.h"
+#include "chervilport/instance/routing_notice.h"
 #include "chervilport/instance/split_address.h"
+#include "chervilport/instance/worker_announcement.h"
 #include "chervilport/logging/log.h"
+#include "chervilport/metrics/metric_registry.h"
+#include "chervilport/requests/request_filters.h"
 
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 #include <charconv>
 #include <csignal>
 #include <filesystem>
@@ -23,6 +29,7 @@
 namespace {
 
     constexpr std::string_view part = "instance";
+    constexpr std::string_view upstreamsPath = "/v1/upstreams";
     constexpr std::string_view deadlineHeader = "Chervilport-Deadline-Ms";
     constexpr std::chrono::milliseconds defaultDeadline { 10'000 };
     constexpr std::chrono::milliseconds longestDeadline { 3'600'000 };
@@ -66,25 +73,35 @@
     explicit implementation(const settings& given)
         : values(given)
         , signals(context, SIGTERM, SIGINT)
+        , stopTimer(context)
         , client(context)
         , control(values, controlHooks())
-        , listener(context, listenerSettings(values), [this](http_request request, http_responder responder) {
-            handle(std::move(request), std::move(responder));
-        })
+        , data(context, values, control.incarnation(), client, metrics, dataHooks())
+        , listener(context, listenerSettings(values),
+              [this](http_request request, const http_responder& responder) { handle(std::move(request), responder); })
     {
     }
 
     control_plane_hooks controlHooks();
-    void handle(http_request, http_responder);
-    void handleControl(http_request, http_responder);
+    void handle(http_request, const http_responder&);
+    data_plane_hooks dataHooks();
+    void receiveNotice(std::uint64_t sender, const std::string& notice);
+    http_response renderMetrics();
+    void handleUpstreams(const http_request&, const http_responder&);
+    void handleControl(http_request, const http_responder&);
     void announceAddress() const;
     void beginStop();
+    void finishRequests();
+    void end();
 
     settings values;
     asio::io_context context { 1 };
     asio::signal_set signals;
+    asio::steady_timer stopTimer;
     http_client client;
+    metric_registry metrics;
     control_plane control;
+    data_plane data;
     http_listener listener;
     bool stopping = false;
 };
@@ -100,6 +117,7 @@
 {
     auto& self = *m_implementation;
     self.control.start();
+    self.data.start();
     self.listener.open();
     self.announceAddress();
     self.signals.async_wait([&self](const std::error_code& error, int) {
@@ -122,14 +140,43 @@
             });
         });
     };
-    hooks.announceExecutor = [](std::string_view) {
-        return makeErrorResponse(error_kind::InvalidRequest, "executors are not supported yet");
+    hooks.receiveNotice = [this](std::uint64_t sender, const std::string& notice) {
+        asio::post(context, [this, sender, notice] { receiveNotice(sender, notice); });
+    };
+    hooks.leadershipChanged = [this](bool leading, std::uint64_t term) {
+        asio::post(context, [this, leading, term] { data.leadershipChanged(leading, term); });
     };
     return hooks;
 }
 
-void instance::implementation::handle(http_request request, http_responder responder)
+data_plane_hooks instance::implementation::dataHooks()
+{
+    data_plane_hooks hooks;
+    hooks.notifyDomain = [this](const routing_notice& notice) { control.notifyDomain(encodeRoutingNotice(notice)); };
+    hooks.notifyLeader = [this](const routing_notice& notice) { control.notifyLeader(encodeRoutingNotice(notice)); };
+    hooks.notifyInstance = [this](std::uint64_t receiver, const routing_notice& notice) {
+        control.notifyInstance(receiver, encodeRoutingNotice(notice));
+    };
+    hooks.claims.submit = [this](claim_step step, log_duration patience, std::function<void(claim_store_reply)> done) {
+        control.submitClaim(std::move(step), patience, [this, done = std::move(done)](const claim_store_reply& reply) {
+            asio::post(context, [done, reply] { done(reply); });
+        });
+    };
+    return hooks;
+}
+
+void instance::implementation::receiveNotice(std::uint64_t sender, const std::string& notice)
 {
+    try {
+        data.receive(sender, decodeRoutingNotice(notice));
+    } catch (const chervilport_error& error) {
+        logWarning(part, "a notice of instance " + std::to_string(sender) + " was ignored: " + error.what());
+    }
+}
+
+void instance::implementation::handle(http_request request, const http_responder& responder)
+{
+    // The responder is shared with the handlers, so that it still answers when one of them throws.
     try {
         const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
         if (path == "/healthz")
@@ -137,17 +184,57 @@
         else if (path == "/readyz")
             responder(
                 !stopping && control.isReady() ? plainResponse(200, "ready\n") : plainResponse(503, "not ready\n"));
+        else if (path == "/metrics")
+            responder(renderMetrics());
+        else if (path.starts_with(requestTargetPrefix))
+            data.handleRequest(std::move(request), responder);
         else
-            handleControl(std::move(request), std::move(responder));
+            handleControl(std::move(request), responder);
     } catch (const chervilport_error& error) {
         responder(makeErrorResponse(error.kind(), error.what()));
     }
 }
 
-void instance::implementation::handleControl(http_request request, http_responder responder)
+http_response instance::implementation::renderMetrics()
+{
+    data.recordGauges();
+    metrics.set("chervilport_ready", {}, control.isReady() && !stopping ? 1 : 0);
+    metrics.set("chervilport_connections", {}, static_cast<double>(listener.connections()));
+    return plainResponse(200, metrics.render());
+}
+
+void instance::implementation::handleUpstreams(const http_request& request, const http_responder& responder)
 {
+    constexpr std::string_view drainSuffix = "/drain";
+    const std::string_view target = request.target;
+    if (target == upstreamsPath && request.method == "GET") {
+        responder({ 200, { { "Content-Type", "application/json" } }, data.describeUpstreams() });
+        return;
+    }
+    if (request.method != "POST" || !target.ends_with(drainSuffix))
+        throw chervilport_error(error_kind::NotFound, "there is nothing at this path");
+    const auto address
+        = target.substr(upstreamsPath.size() + 1, target.size() - upstreamsPath.size() - 1 - drainSuffix.size());
+    if (!data.drainUpstream(address))
+        throw chervilport_error(error_kind::NotFound, "no upstream is known at " + std::string(address));
+    responder({ 200, { { "Content-Type", "application/json" } }, data.describeUpstreams() });
+}
+
+void instance::implementation::handleControl(http_request request, const http_responder& responder)
+{
+    // Internal paths are for other instances only, which use another listener.
+    if (request.target.starts_with("/internal"))
+        throw chervilport_error(error_kind::NotFound, "there is nothing at this path");
+    if (request.target.starts_with(upstreamsPath)) {
+        handleUpstreams(request, responder);
+        return;
+    }
+    if (request.target == "/v1/announce" && request.method == "POST" && !announcesWorker(request.body)) {
+        responder(data.announceExecutor(request.body));
+        return;
+    }
     const auto remaining = readDeadline(request);
-    control.handle(std::move(request), remaining, [this, responder = std::move(responder)](http_response response) {
+    control.handle(std::move(request), remaining, [this, responder](http_response response) {
         asio::post(context, [responder, response = std::move(response)]() mutable { responder(std::move(response)); });
     });
 }
@@ -167,10 +254,32 @@
 
 void instance::implementation::beginStop()
 {
-    logInfo(part, "planned stop: handing over leadership and finishing requests in flight");
+    // The balancer needs some time to see that the instance is not ready; until then new requests are served as usual.
+    logInfo(part, "planned stop: not ready, handing over leadership");
     stopping = true;
-    control.prepareStop(std::min(values.stopTimeout, leadershipTransferTime),
-        [this] { asio::post(context, [this] { listener.stop(idleGrace, [this] { context.stop(); }); }); });
+    control.prepareStop(std::min(values.stopTimeout, leadershipTransferTime), [] {});
+    stopTimer.expires_after(values.stopGrace);
+    stopTimer.async_wait([this](const std::error_code&) { finishRequests(); });
+}
+
+void instance::implementation::finishRequests()
+{
+    logInfo(part, "planned stop: finishing " + std::to_string(data.inFlight()) + " requests");
+    stopTimer.expires_after(values.stopTimeout);
+    stopTimer.async_wait([this](const std::error_code& error) {
+        if (error)
+            return;
+        logWarning(part, "planned stop: time is up, " + std::to_string(data.inFlight()) + " requests end unfinished");
+        end();
+    });
+    listener.stop(idleGrace, [this] { end(); });
+}
+
+void instance::implementation::end()
+{
+    stopTimer.cancel();
+    data.stop();
+    context.stop();
 }
 
 } // namespace chervilport
--- a/chervilport/instance/routing_notice.h
+++ b/chervilport/instance/routing_notice.h
@@ -19,7 +19,7 @@
 /// A notice between instances of a domain about routing.
 using routing_notice = std::variant<announcement_batch, share_report, share_grant>;
 
-/// Encodes a notice as CBOR arrays, because at 50 executors names of members would double its size.
+/// Encodes a notice as a byte of kind and CBOR arrays, because at 50 executors names of members would double its size.
 std::string encodeRoutingNotice(const routing_notice&);
 
 /// Decodes a notice. Throws chervilport_error of kind Internal on bytes that are none.
--- a/chervilport/settings/settings.h
+++ b/chervilport/settings/settings.h
@@ -69,6 +69,9 @@
     std::chrono::milliseconds fleetHeartbeat { 1'000 };
     /// Shortest election timeout of the fleet's replication group.
     std::chrono::milliseconds fleetElection { 4'000 };
+    /// Time after the beginning of a planned stop in which new requests are still served, so that the balancer can
+    /// notice.
+    std::chrono::milliseconds stopGrace { 2'000 };
     /// Longest time that a planned stop waits for requests in flight.
     std::chrono::milliseconds stopTimeout { 60'000 };
 
