--- /dev/null
+++ b/chervilport/configuration/configuration_codec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "chervilport/configuration/configuration_command.h"
+#include "chervilport/configuration/configuration_state.h"
+
+#include <string>
+#include <string_view>
+
+namespace chervilport {
+
+/// Encodes a command as a log payload (CBOR).
+std::string encodeCommand(const configuration_command&);
+
+/// Decodes a command. Throws `StorageFailure` when it is not one.
+configuration_command decodeCommand(std::string_view);
+
+/// Encodes the state as a snapshot (CBOR). Equal states give equal bytes.
+std::string encodeState(const configuration_state&);
+
+/// Decodes a state. Throws `StorageFailure` when it is not one.
+configuration_state decodeState(std::string_view);
+
+} // namespace chervilport
