--- a/tests/storage/log_model.h
+++ b/tests/storage/log_model.h
@@ -99,8 +99,8 @@
     return { index, term, { { { member_id { 1 }, 5, true } }, {} }, std::string(bytes, 's') };
 }
 
-/// A sequence that covers votes, replaced entries, own and received snapshots with and without a matching entry, new
-/// segments and records longer than a sector.
+/// A sequence that covers votes, replaced entries, own and received snapshots with a matching entry, with another one
+/// and beyond the log, new segments and records longer than a sector.
 inline std::vector<store_call> exampleCalls()
 {
     const hard_state voted { 1, member_id { 2 } };
@@ -118,6 +118,10 @@
         { std::nullopt, snapshotAt(24, 4, 600), true, {} },
         { hard_state { 5, std::nullopt }, std::nullopt, false, entriesFrom(25, 2, 5) },
         { std::nullopt, snapshotAt(26, 6), false, entriesFrom(27, 1, 6) },
+        { std::nullopt, std::nullopt, false, entriesFrom(28, 4, 7) },
+        { std::nullopt, snapshotAt(29, 8), false, entriesFrom(30, 1, 8) },
+        { std::nullopt, std::nullopt, false, entriesFrom(31, 4, 8) },
+        { std::nullopt, snapshotAt(32, 9), false, {} },
     };
 }
 
