Send the end of a call together with the next message

Cause: each deliver call took a TCP segment of its own for its Finish message, and one for the acknowledgement of that. With headers of 52 bytes, segments are more than half of the cost of a heartbeat.

Change: the sender holds up to four Finish messages for at most 1.2 s, until the next message takes them along.

--- a/chervilport/transport/detail/packed_stream.cpp
+++ b/chervilport/transport/detail/packed_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "chervilport/transport/detail/kj_error.h"
 
+#include <capnp/rpc.capnp.h>
 #include <capnp/serialize-packed.h>
 #include <kj/debug.h>
 #include <kj/io.h>
@@ -16,6 +17,17 @@
 
     constexpr std::size_t lengthBytes = 4;
 
+    /// A peer keeps the answer of a call until its `Finish`, so few are held and not for long. The time is above the
+    /// heartbeat of the fleet scope.
+    constexpr std::size_t mostHeldMessages = 4;
+    const kj::Duration longestHold = 1200 * kj::MILLISECONDS;
+
+    bool isFinish(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments)
+    {
+        capnp::SegmentArrayMessageReader reader(segments);
+        return reader.getRoot<capnp::rpc::Message>().isFinish();
+    }
+
     /// Packs one message behind its length.
     kj::Array<kj::byte> frameOf(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments)
     {
@@ -94,7 +106,10 @@
 kj::Promise<void> packed_stream::writeMessage(
     kj::ArrayPtr<const int>, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments)
 {
-    return writeBytes(frameOf(segments));
+    auto frame = frameOf(segments);
+    if (hold(segments, frame))
+        return kj::READY_NOW;
+    return writeBytes(kj::mv(frame));
 }
 
 kj::Promise<void> packed_stream::writeMessages(
@@ -108,9 +123,47 @@
 
 kj::Promise<void> packed_stream::writeBytes(kj::Array<kj::byte> bytes)
 {
+    // What is held goes first and into the same segment.
+    if (!m_held.empty()) {
+        m_held.addAll(bytes);
+        bytes = m_held.releaseAsArray();
+        m_held = kj::Vector<kj::byte>();
+        m_heldMessages = 0;
+    }
     m_traffic(0, bytes.size());
-    const auto* begin = bytes.begin();
-    return m_stream.write(begin, bytes.size()).attach(kj::mv(bytes));
+    auto written = m_lastWrite
+                       .then([this, bytes = kj::mv(bytes)]() mutable {
+                           const auto* begin = bytes.begin();
+                           return m_stream.write(begin, bytes.size()).attach(kj::mv(bytes));
+                       })
+                       .fork();
+    m_lastWrite = written.addBranch();
+    return written.addBranch();
+}
+
+void packed_stream::holdFinish(kj::Timer& timer) { m_holdTimer = timer; }
+
+bool packed_stream::hold(
+    kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments, kj::ArrayPtr<const kj::byte> frame)
+{
+    if (m_holdTimer == nullptr || m_heldMessages >= mostHeldMessages || !isFinish(segments))
+        return false;
+    m_held.addAll(frame);
+    if (++m_heldMessages == 1)
+        m_flush = flushLater().eagerlyEvaluate([](kj::Exception&&) { /* The next read or write fails as well. */ });
+    return true;
+}
+
+kj::Promise<void> packed_stream::flushLater()
+{
+    KJ_IF_MAYBE (timer, m_holdTimer) {
+        return timer->afterDelay(longestHold).then([this]() -> kj::Promise<void> {
+            if (m_held.empty())
+                return kj::READY_NOW;
+            return writeBytes({});
+        });
+    }
+    return kj::READY_NOW;
 }
 
 kj::Maybe<int> packed_stream::getSendBufferSize() { return nullptr; }
--- a/chervilport/transport/detail/packed_stream.h
+++ b/chervilport/transport/detail/packed_stream.h
@@ -2,6 +2,8 @@
 
 #include <capnp/serialize-async.h>
 #include <kj/async-io.h>
+#include <kj/timer.h>
+#include <kj/vector.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +21,10 @@
     /// Creates the stream over a connection that has to outlive it, with the bound on one unpacked message.
     packed_stream(kj::AsyncIoStream&, std::size_t limitBytes, traffic_callback);
 
+    /// Makes `Finish` messages wait for the next message, at most `longestHold`. A heartbeat with its answer then takes
+    /// 6 TCP segments instead of 10; the headers of the segments are more than half of its cost.
+    void holdFinish(kj::Timer&);
+
     /// Sets the bound on the messages read from now on.
     void setLimit(std::size_t limitBytes) { m_limitBytes = limitBytes; }
 
@@ -34,11 +40,19 @@
 private:
     kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> readBody(std::uint32_t packedBytes, capnp::ReaderOptions);
     kj::Promise<void> writeBytes(kj::Array<kj::byte>);
+    bool hold(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments, kj::ArrayPtr<const kj::byte> frame);
+    kj::Promise<void> flushLater();
 
     kj::AsyncIoStream& m_stream;
     std::size_t m_limitBytes;
     traffic_callback m_traffic;
     kj::byte m_length[4] = {};
+    /// End of the writes so far; the flush of held messages must not overlap one of the RPC system.
+    kj::Promise<void> m_lastWrite = kj::READY_NOW;
+    kj::Maybe<kj::Timer&> m_holdTimer;
+    kj::Vector<kj::byte> m_held;
+    std::size_t m_heldMessages = 0;
+    kj::Promise<void> m_flush = kj::READY_NOW;
 };
 
 } // namespace chervilport
--- a/chervilport/transport/detail/peer_link.cpp
+++ b/chervilport/transport/detail/peer_link.cpp
@@ -67,6 +67,7 @@
         , m_lost(kj::newPromiseAndFulfiller<void>())
         , m_calls(link)
     {
+        m_packed.holdFinish(link.m_timer);
     }
 
     /// Returns the bootstrap interface of the peer.
