Keep two workspaces from displacing each other without end

Cause: two covered jobs of different workspaces stopped each other at once, for ever (226 attempts of one job in a benchmark run that never ended). Change: a job within its guarantee moves only after 10 minutes and at most three times; borrowers are told apart by filling the guarantee in order.

--- a/chervilport/scheduling/capacity_view.cpp
+++ b/chervilport/scheduling/capacity_view.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <tuple>
 
 namespace chervilport {
 
@@ -102,6 +103,32 @@
     return demand + (held == state.heldByTeam.end() ? 0 : held->second) <= team->maxAccelerators;
 }
 
+std::set<job_id> guaranteedJobs(const schedule_state& state)
+{
+    using order_key = std::tuple<std::size_t, bool, job_class, log_time, job_id>;
+    std::vector<order_key> order;
+    for (const auto& [id, job] : state.jobs)
+        if (!job.tasks.empty())
+            order.emplace_back(workspaceIndex(state, job.spec.workspace), job.spec.preemptible, job.spec.jobClass,
+                job.placedAt, id);
+    std::sort(order.begin(), order.end());
+    std::vector<std::int32_t> left;
+    for (const auto& workspace : state.configuration.workspaces)
+        left.push_back(guaranteedAccelerators(workspace));
+    left.push_back(0);
+    std::set<job_id> guaranteed;
+    for (const auto& key : order) {
+        const auto id = std::get<job_id>(key);
+        const auto size = gangAccelerators(state.jobs.at(id).spec);
+        auto& rest = left[std::get<0>(key)];
+        if (size > rest)
+            continue;
+        rest -= size;
+        guaranteed.insert(id);
+    }
+    return guaranteed;
+}
+
 bool isCovered(const schedule_state& state, const job_record& job)
 {
     const auto index = workspaceIndex(state, job.spec.workspace);
--- a/chervilport/scheduling/capacity_view.h
+++ b/chervilport/scheduling/capacity_view.h
@@ -5,6 +5,7 @@
 #include "chervilport/scheduling/resources.h"
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -35,6 +36,10 @@
 /// Returns whether team quota and workspace bound let the job start.
 bool withinQuotas(const schedule_state&, const job_record&);
 
+/// Returns the active jobs that run within the guarantee of their workspace; the others borrow. The jobs of a workspace
+/// fill its guarantee in the order of preemptibility, class and age of their attempts.
+std::set<job_id> guaranteedJobs(const schedule_state&);
+
 /// Returns whether the job fits into the guarantee of its workspace beside those of the workspace's jobs that it may
 /// not displace: non-preemptible ones and ones of its own or a higher class.
 bool isCovered(const schedule_state&, const job_record&);
--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -22,6 +22,13 @@
     /// Overhead of stopping and starting a job again.
     constexpr log_duration restartOverhead = std::chrono::seconds(10);
 
+    /// Factor on the cost of stopping a job within the guarantee of its workspace.
+    constexpr std::int64_t guaranteedFactor = 1000;
+
+    /// Time that an attempt within a guarantee runs at least, and how often such a job may be moved.
+    constexpr log_duration guaranteedResidence = std::chrono::minutes(10);
+    constexpr std::int32_t guaranteedMoves = 3;
+
     /// Costs of all jobs that can make room; jobs that already stop cost nothing.
     cost_table victimCosts(const schedule_state& state, const job_record& job, const victim_cost& costOf)
     {
@@ -91,14 +98,6 @@
 
     std::int64_t seconds(log_duration duration) { return duration.count() / 1'000'000; }
 
-    bool isWithinGuarantee(const schedule_state& state, const std::string& workspace)
-    {
-        const auto index = workspaceIndex(state, workspace);
-        const auto held = state.heldByWorkspace.find(workspace);
-        return index < state.configuration.workspaces.size() && held != state.heldByWorkspace.end()
-            && held->second <= guaranteedAccelerators(state.configuration.workspaces[index]);
-    }
-
 } // namespace
 
 std::optional<reclaim_plan> planReclaim(const schedule_state& state, const job_record& job, const victim_cost& costOf)
@@ -180,15 +179,20 @@
 
 bool reclaimForGuarantee(schedule_state& state, const job_record& job, std::vector<command>& out)
 {
+    const auto guaranteed = guaranteedJobs(state);
     const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
         if (!other.spec.preemptible)
             return std::nullopt;
         const auto cost = seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
         if (other.spec.workspace == job.spec.workspace)
             return other.spec.jobClass > job.spec.jobClass ? std::optional(cost) : std::nullopt;
-        // Jobs within the guarantee of another workspace move only where no borrower can.
-        constexpr std::int64_t guaranteedFactor = 1000;
-        return isWithinGuarantee(state, other.spec.workspace) ? cost * guaranteedFactor : cost;
+        if (!guaranteed.contains(other.id))
+            return cost;
+        // A job within the guarantee of another workspace moves only where no borrower can make room, and not again and
+        // again: two workspaces would otherwise displace each other without end.
+        if (state.now - other.placedAt < guaranteedResidence || other.preemptions >= guaranteedMoves)
+            return std::nullopt;
+        return cost * guaranteedFactor;
     };
     const auto plan = planReclaim(state, job, costOf);
     if (!plan)
