Run the fleet log and the configuration of environments

Cause: configuration had no owner among processes, and two domains could not serve each other's jobs. Two pairs of equal names in different packages are renamed, because the linker took one for the other.

--- a/apps/chervilportd/main.cpp
+++ b/apps/chervilportd/main.cpp
@@ -15,13 +15,15 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--initialize] [--check-config]
+constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--initialize SCOPE] [--check-config]
 
 Runs one instance of chervilport. Without a file it runs alone on 127.0.0.1:7400 and keeps no state on disk.
 
   -c, --config FILE    read settings from the TOML file
-      --initialize     begin the replication groups of a new cluster: for the very first start of one instance with a
-                       disk in each failure domain; ignored once the data folder holds a log
+      --initialize SCOPE
+                       begin a replication group; ignored once the data folder holds its log. "cluster" for the very
+                       first start of one instance of the cluster, "domain" for that of one instance of each further
+                       failure domain
       --check-config   check the settings, print every fault, and exit
   -h, --help           print this text
       --version        print the version
@@ -32,7 +34,8 @@
 struct options {
     std::string configFile;
     bool checkOnly = false;
-    bool initialize = false;
+    bool initializeDomain = false;
+    bool initializeFleet = false;
 };
 
 enum long_option : int {
@@ -47,7 +50,7 @@
     static const option longOptions[] = {
         { "config", required_argument, nullptr, 'c' },
         { "check-config", no_argument, nullptr, CheckConfig },
-        { "initialize", no_argument, nullptr, Initialize },
+        { "initialize", required_argument, nullptr, Initialize },
         { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, Version },
         {},
@@ -62,7 +65,12 @@
             given.checkOnly = true;
             break;
         case Initialize:
-            given.initialize = true;
+            given.initializeFleet = std::string(optarg) == "cluster";
+            given.initializeDomain = given.initializeFleet || std::string(optarg) == "domain";
+            if (!given.initializeDomain) {
+                std::cerr << "--initialize needs cluster or domain\n";
+                return exitUsage;
+            }
             break;
         case 'h':
             std::cout << usage;
@@ -99,7 +107,8 @@
         return exitOk;
     }
 
-    settings.values.initialize = given.initialize;
+    settings.values.initializeDomain = given.initializeDomain;
+    settings.values.initializeFleet = given.initializeFleet;
     setUpLog(settings.values.logLevel, settings.values.logFile);
     instance served(settings.values);
     served.run();
--- a/chervilport/configuration/configuration_codec.cpp
+++ b/chervilport/configuration/configuration_codec.cpp
@@ -243,7 +243,7 @@
 
 configuration_command decodeCommand(std::string_view bytes) { return decoded(bytes, decodeCommandValue); }
 
-std::string encodeState(const configuration_state& state)
+std::string encodeConfigurationState(const configuration_state& state)
 {
     return bytesOf({ { "last_version", state.lastVersion }, { "trial", encodeVersion(state.trial) },
         { "proven", state.trialProven }, { "production", encodeVersion(state.production) },
@@ -251,6 +251,6 @@
         { "operations", listOf(state.operations, encodeOperation) } });
 }
 
-configuration_state decodeState(std::string_view bytes) { return decoded(bytes, decodeStateValue); }
+configuration_state decodeConfigurationState(std::string_view bytes) { return decoded(bytes, decodeStateValue); }
 
 } // namespace chervilport
--- a/chervilport/configuration/configuration_codec.h
+++ b/chervilport/configuration/configuration_codec.h
@@ -15,9 +15,9 @@
 configuration_command decodeCommand(std::string_view);
 
 /// Encodes the state as a snapshot (CBOR). Equal states give equal bytes.
-std::string encodeState(const configuration_state&);
+std::string encodeConfigurationState(const configuration_state&);
 
 /// Decodes a state. Throws `StorageFailure` when it is not one.
-configuration_state decodeState(std::string_view);
+configuration_state decodeConfigurationState(std::string_view);
 
 } // namespace chervilport
--- a/chervilport/instance/control_api.cpp
+++ b/chervilport/instance/control_api.cpp
@@ -2,6 +2,7 @@
 
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/http/error_response.h"
+#include "chervilport/instance/configuration_controller.h"
 #include "chervilport/instance/job_controller.h"
 #include "chervilport/instance/job_json.h"
 #include "chervilport/instance/monotonic_now.h"
@@ -21,6 +22,7 @@
     constexpr std::string_view jobsPath = "/v1/jobs";
     constexpr std::string_view announcePath = "/v1/announce";
     constexpr std::string_view statusPath = "/v1/status";
+    constexpr std::string_view configPath = "/v1/config";
     // Long enough for a new leader to be noticed, short enough to lose little of the caller's deadline.
     constexpr std::chrono::milliseconds retryInterval { 50 };
     constexpr int maxHops = 3;
@@ -67,14 +69,9 @@
 
 } // namespace
 
-control_api::control_api(asio::io_context& context, std::string failureDomain,
-    std::shared_ptr<replica_group> domainGroup, std::shared_ptr<job_controller> jobs,
-    std::shared_ptr<worker_controller> workers, control_api_hooks hooks)
+control_api::control_api(asio::io_context& context, control_api_parts parts, control_api_hooks hooks)
     : m_context(context)
-    , m_failureDomain(std::move(failureDomain))
-    , m_domainGroup(std::move(domainGroup))
-    , m_jobs(std::move(jobs))
-    , m_workers(std::move(workers))
+    , m_parts(std::move(parts))
     , m_hooks(std::move(hooks))
 {
 }
@@ -88,6 +85,15 @@
     }
 }
 
+void control_api::handleInDomain(const std::shared_ptr<control_call>& call, std::string_view failureDomain)
+{
+    try {
+        forwardToDomain(call, failureDomain);
+    } catch (const chervilport_error& error) {
+        call->reply(makeErrorResponse(error.kind(), error.what()));
+    }
+}
+
 void control_api::serve(const std::shared_ptr<control_call>& call)
 {
     const std::string_view target = call->request.target;
@@ -106,6 +112,14 @@
         call->reply({ 200, { { "Content-Type", "application/json" } }, m_hooks.describeStatus() });
         return;
     }
+    if (path == configPath || path.starts_with(std::string(configPath) + "/")) {
+        serveConfiguration(call, path.substr(configPath.size()));
+        return;
+    }
+    if (path == capacityPath) {
+        onLeader(call, [this, call] { call->reply({ 200, {}, m_hooks.describeCapacity() }); });
+        return;
+    }
     if (path == claimPath) {
         serveClaim(call);
         return;
@@ -122,7 +136,7 @@
         const bool submits = request.method == "POST";
         const auto home = submits ? parseJobSubmission(request.body).failureDomain
                                   : std::string(queryParameter(query, "failure_domain"));
-        if (!home.empty() && home != m_failureDomain) {
+        if (!home.empty() && home != m_parts.failureDomain) {
             forwardToDomain(call, home);
             return;
         }
@@ -130,24 +144,24 @@
         const auto limit = readLimit(queryParameter(query, "limit"));
         onLeader(call, [this, call, submits, workspace, limit] {
             if (submits)
-                m_jobs->submit(call->request.body, call->reply);
+                m_parts.jobs->submit(call->request.body, call->reply);
             else
-                m_jobs->list(workspace, limit, call->reply);
+                m_parts.jobs->list(workspace, limit, call->reply);
         });
         return;
     }
     const std::string id(path.substr(jobsPath.size() + 1));
     if (request.method != "GET" && request.method != "DELETE")
         refuseMethod(request);
-    if (const auto home = parseJobId(id).failureDomain; home != m_failureDomain) {
+    if (const auto home = parseJobId(id).failureDomain; home != m_parts.failureDomain) {
         forwardToDomain(call, home);
         return;
     }
     onLeader(call, [this, call, id] {
         if (call->request.method == "GET")
-            m_jobs->show(id, call->reply);
+            m_parts.jobs->show(id, call->reply);
         else
-            m_jobs->cancel(id, call->reply);
+            m_parts.jobs->cancel(id, call->reply);
     });
 }
 
@@ -161,17 +175,48 @@
     if (call->request.method != "POST")
         refuseMethod(call->request);
     auto announcement = parseWorkerAnnouncement(call->request.body);
-    onLeader(
-        call, [this, call, announcement = std::move(announcement)] { m_workers->announce(announcement, call->reply); });
+    onLeader(call,
+        [this, call, announcement = std::move(announcement)] { m_parts.workers->announce(announcement, call->reply); });
+}
+
+void control_api::serveConfiguration(const std::shared_ptr<control_call>& call, std::string_view path)
+{
+    onFleetLeader(call,
+        [this, call, path = std::string(path)] { m_parts.configuration->serve(call->request, path, call->reply); });
+}
+
+void control_api::onFleetLeader(const std::shared_ptr<control_call>& call, const std::function<void()>& action)
+{
+    const auto& group = m_parts.fleetGroup;
+    if (group && group->mayServe()) {
+        action();
+        return;
+    }
+    if (call->hops >= maxHops) {
+        retryLater(call, "the fleet log has no leader");
+        return;
+    }
+    if (group) {
+        const auto status = group->status();
+        if (status.role != replica_role::Leader && status.leader)
+            forwardTo(call, static_cast<std::uint64_t>(*status.leader));
+        else
+            retryLater(call, "the fleet log has no leader");
+        return;
+    }
+    const auto& instances = m_parts.fleetInstances;
+    if (instances.empty())
+        throw chervilport_error(error_kind::Unavailable, "no instance takes part in the fleet log");
+    forwardTo(call, instances[m_forwardRotation++ % instances.size()]);
 }
 
 void control_api::onLeader(const std::shared_ptr<control_call>& call, const std::function<void()>& action)
 {
-    if (m_domainGroup->mayServe()) {
+    if (m_parts.domainGroup->mayServe()) {
         action();
         return;
     }
-    const auto status = m_domainGroup->status();
+    const auto status = m_parts.domainGroup->status();
     if (status.role != replica_role::Leader && status.leader && call->hops < maxHops)
         forwardTo(call, static_cast<std::uint64_t>(*status.leader));
     else
--- a/chervilport/instance/control_plane.h
+++ b/chervilport/instance/control_plane.h
@@ -15,12 +15,14 @@
 
 namespace chervilport {
 
+class metric_registry;
+
 /// The control part of an instance: replicated logs, controllers and the control interface, on a thread of its own, so
 /// that a synced write never delays a request on its way to an executor. All functions are safe on any thread.
 class control_plane {
 public:
     /// Creates a stopped control plane.
-    control_plane(const settings&, control_plane_hooks);
+    control_plane(const settings&, metric_registry&, control_plane_hooks);
     ~control_plane();
 
     control_plane(const control_plane&) = delete;
--- a/chervilport/instance/data_plane.cpp
+++ b/chervilport/instance/data_plane.cpp
@@ -65,6 +65,7 @@
         , client(givenClient)
         , metrics(givenMetrics)
         , hooks(std::move(givenHooks))
+        , access(readTokens(values.tokenFile))
         , timer(context)
     {
         routing.registry.settings.expiry = values.announcementExpiry;
@@ -89,6 +90,7 @@
     http_client& client;
     metric_registry& metrics;
     data_plane_hooks hooks;
+    access_policy access;
     asio::steady_timer timer;
     routing_state routing;
     std::shared_ptr<request_pipeline> pipeline;
@@ -159,6 +161,11 @@
     self.updateLedgerExecutors();
 }
 
+void data_plane::setWorkspaces(std::set<std::string, std::less<>> names)
+{
+    m_implementation->pipeline->setAccess(m_implementation->access, std::move(names));
+}
+
 std::string data_plane::describeUpstreams() const
 {
     const auto& self = *m_implementation;
@@ -212,7 +219,7 @@
 request_settings data_plane::implementation::pipelineSettings() const
 {
     request_settings pipelineValues;
-    pipelineValues.access = readTokens(values.tokenFile);
+    pipelineValues.access = access;
     pipelineValues.owner = { instanceName(values.instanceId), incarnation };
     return pipelineValues;
 }
--- a/chervilport/instance/data_plane.h
+++ b/chervilport/instance/data_plane.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -53,6 +54,9 @@
     /// Follows leadership in the domain. `term` 1 means that there was no earlier leader.
     void leadershipChanged(bool leading, std::uint64_t term);
 
+    /// Replaces the names of workspaces that requests may use.
+    void setWorkspaces(std::set<std::string, std::less<>> names);
+
     /// Returns the upstreams known, as JSON for operators.
     std::string describeUpstreams() const;
 
--- a/chervilport/instance/group_bootstrap.cpp
+++ b/chervilport/instance/group_bootstrap.cpp
@@ -41,11 +41,12 @@
     config.electionTimeout = scope == group_scope::Domain ? values.domainElection : values.fleetElection;
     config.seed = std::random_device {}();
 
+    const bool initialize = scope == group_scope::Domain ? values.initializeDomain : values.initializeFleet;
     const bool alone = values.instances.size() < 2;
-    if (!alone && values.initialize && !storage.hasDisk())
+    if (!alone && initialize && !storage.hasDisk())
         throw chervilport_error(
             error_kind::InvalidRequest, "only an instance with a data folder may initialize a cluster");
-    if ((alone || values.initialize) && !storage.hasGroup(groupName(scope)))
+    if ((alone || initialize) && !storage.hasGroup(groupName(scope)))
         config.initial = firstMembership(values, scope, config.self);
     return config;
 }
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -75,7 +75,7 @@
         , signals(context, SIGTERM, SIGINT)
         , stopTimer(context)
         , client(context)
-        , control(values, controlHooks())
+        , control(values, metrics, controlHooks())
         , data(context, values, control.incarnation(), client, metrics, dataHooks())
         , listener(context, listenerSettings(values),
               [this](http_request request, const http_responder& responder) { handle(std::move(request), responder); })
@@ -143,6 +143,9 @@
     hooks.receiveNotice = [this](std::uint64_t sender, const std::string& notice) {
         asio::post(context, [this, sender, notice] { receiveNotice(sender, notice); });
     };
+    hooks.workspacesChanged = [this](std::set<std::string, std::less<>> names) {
+        asio::post(context, [this, names = std::move(names)]() mutable { data.setWorkspaces(std::move(names)); });
+    };
     hooks.leadershipChanged = [this](bool leading, std::uint64_t term) {
         asio::post(context, [this, leading, term] { data.leadershipChanged(leading, term); });
     };
--- a/chervilport/instance/job_json.cpp
+++ b/chervilport/instance/job_json.cpp
@@ -114,6 +114,8 @@
 
 std::string_view toString(job_state state) { return stateNames[static_cast<std::size_t>(state)]; }
 
+std::string_view className(job_class jobClass) { return classNames[static_cast<std::size_t>(jobClass)]; }
+
 nlohmann::json jobToJson(std::string_view failureDomain, const job_view& job)
 {
     const auto& spec = job.spec;
@@ -123,7 +125,7 @@
         { "team", spec.team },
         { "kind", spec.kind },
         { "client_key", spec.clientKey },
-        { "class", classNames[static_cast<std::size_t>(spec.jobClass)] },
+        { "class", className(spec.jobClass) },
         { "tasks", spec.taskCount },
         { "per_task",
             { { "accelerators", spec.perTask.accelerators }, { "millicores", spec.perTask.millicores },
--- a/chervilport/instance/job_json.h
+++ b/chervilport/instance/job_json.h
@@ -40,6 +40,9 @@
 /// Returns the name of a state, for example `queued`.
 std::string_view toString(job_state);
 
+/// Returns the name of a class, for example `urgent`.
+std::string_view className(job_class);
+
 /// Returns a job for callers; log times are given as milliseconds since 1970-01-01 UTC.
 nlohmann::json jobToJson(std::string_view failureDomain, const job_view&);
 
--- a/chervilport/instance/peer_network.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -178,15 +178,24 @@
     m_implementation->transport->publishConfiguration({ version, std::move(content) });
 }
 
+void peer_network::announceConfiguration(std::span<const std::uint64_t> instances)
+{
+    for (const auto instance : instances) {
+        envelope sent;
+        sent.configurationVersion = m_implementation->configurationVersion;
+        m_implementation->transport->send(static_cast<member_id>(instance), std::move(sent));
+    }
+}
+
 void peer_network::fetchConfiguration(
     std::uint64_t instance, std::uint64_t known, std::function<void(std::uint64_t version, std::string content)> done)
 {
     auto& context = m_implementation->context;
     m_implementation->transport->fetchConfiguration(static_cast<member_id>(instance), known, fetchTimeout,
         [&context, known, done = std::move(done)](const std::optional<configuration_copy>& copy) {
-            if (!copy || copy->version <= known)
-                return;
-            asio::post(context, [done, copy = *copy] { done(copy.version, copy.content); });
+            const bool newer = copy && copy->version > known;
+            const auto fetched = newer ? *copy : configuration_copy {};
+            asio::post(context, [done, fetched] { done(fetched.version, fetched.content); });
         });
 }
 
--- a/chervilport/instance/peer_network.h
+++ b/chervilport/instance/peer_network.h
@@ -57,7 +57,11 @@
     /// Sets the configuration that peers learn of and can fetch.
     void publishConfiguration(std::uint64_t version, std::string content);
 
-    /// Asks a peer for a configuration newer than `known`; `done` gets its version and content, on the control thread.
+    /// Sends the published version to the given instances at once.
+    void announceConfiguration(std::span<const std::uint64_t> instances);
+
+    /// Asks a peer for a configuration newer than `known`; `done` runs once, on the control thread, with its version
+    /// and content, or with version 0 when there is none or the peer did not answer.
     void fetchConfiguration(std::uint64_t instance, std::uint64_t known,
         std::function<void(std::uint64_t version, std::string content)> done);
 
--- a/chervilport/scheduling/decision_core.h
+++ b/chervilport/scheduling/decision_core.h
@@ -79,6 +79,10 @@
     bool leaving = false;
     /// Whether it is in quarantine.
     bool quarantined = false;
+    /// Position of its rack.
+    std::int32_t rackPosition = 0;
+    /// Whole capacity.
+    resources capacity;
 };
 
 /// Creates the state of an empty domain.
--- a/chervilport/scheduling/worker_views.cpp
+++ b/chervilport/scheduling/worker_views.cpp
@@ -14,7 +14,8 @@
 
     worker_view viewOf(const worker_record& worker)
     {
-        return { worker.name, worker.incarnation, worker.state == worker_state::Leaving, worker.quarantined };
+        return { worker.name, worker.incarnation, worker.state == worker_state::Leaving, worker.quarantined,
+            worker.rackPosition, worker.capacity };
     }
 
 } // namespace
--- a/chervilport/settings/settings.h
+++ b/chervilport/settings/settings.h
@@ -26,9 +26,11 @@
     /// File that gets the address of the HTTP listener once it accepts calls; empty for none.
     std::string addressFile;
 
-    /// Whether this instance begins the replication groups of a new cluster. Set by the command line for the very first
+    /// Whether this instance begins the replication group of its domain. Set by the command line for the very first
     /// start of one instance of a domain, never by a file, so that a lost disk cannot begin a second group by itself.
-    bool initialize = false;
+    bool initializeDomain = false;
+    /// Whether this instance begins the replication group of the fleet; likewise, for one instance of the cluster.
+    bool initializeFleet = false;
 
     /// Name of the cluster; instances of another cluster are refused.
     std::string clusterId = "local";
--- a/chervilport/settings/settings_reader.cpp
+++ b/chervilport/settings/settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "chervilport/settings/settings_reader.h"
 
-#include "chervilport/settings/table_reader.h"
+#include "chervilport/settings/settings_table.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -43,7 +43,7 @@
             return;
         }
         instance_address address;
-        table_reader reader(node.as_table(), prefix, file, errors);
+        settings_table reader(node.as_table(), prefix, file, errors);
         reader.read("id", address.id, 1, largestId);
         reader.read("failure_domain", address.failureDomain);
         reader.readAddress("http", address.http);
@@ -61,7 +61,7 @@
         values.instances.push_back(address);
     }
 
-    void readLogLevel(table_reader& reader, log_level& level)
+    void readLogLevel(settings_table& reader, log_level& level)
     {
         std::string name;
         reader.read("level", name);
@@ -78,9 +78,9 @@
     void readTables(
         const toml::table& root, settings& values, const std::string& file, std::vector<settings_error>& errors)
     {
-        table_reader top(&root, "", file, errors);
+        settings_table top(&root, "", file, errors);
 
-        table_reader instance(top.subtable("instance"), "instance.", file, errors);
+        settings_table instance(top.subtable("instance"), "instance.", file, errors);
         instance.read("id", values.instanceId, 1, largestId);
         instance.read("failure_domain", values.failureDomain);
         instance.read("data_folder", values.dataFolder);
@@ -90,7 +90,7 @@
         instance.read("stop_timeout_ms", values.stopTimeout, 0, millisecondsInHour);
         instance.refuseUnknownKeys();
 
-        table_reader listen(top.subtable("listen"), "listen.", file, errors);
+        settings_table listen(top.subtable("listen"), "listen.", file, errors);
         listen.readAddress("http", values.httpListen);
         listen.readAddress("peer", values.peerListen);
         listen.read("max_body_bytes", values.maxBodyBytes, 1'024, largestBodyBytes);
@@ -99,12 +99,12 @@
         listen.read("max_queued_requests", values.maxQueuedRequests, 0, 100'000);
         listen.refuseUnknownKeys();
 
-        table_reader access(top.subtable("access"), "access.", file, errors);
+        settings_table access(top.subtable("access"), "access.", file, errors);
         access.read("token_file", values.tokenFile);
         access.read("allow_open_listener", values.allowOpenListener);
         access.refuseUnknownKeys();
 
-        table_reader timing(top.subtable("timing"), "timing.", file, errors);
+        settings_table timing(top.subtable("timing"), "timing.", file, errors);
         timing.read("lease_ms", values.lease, 100, millisecondsInHour);
         timing.read("lease_renewal_ms", values.leaseRenewal, 20, millisecondsInHour);
         timing.read("announcement_expiry_ms", values.announcementExpiry, 100, millisecondsInHour);
@@ -114,12 +114,12 @@
         timing.read("fleet_election_ms", values.fleetElection, 50, 600'000);
         timing.refuseUnknownKeys();
 
-        table_reader log(top.subtable("log"), "log.", file, errors);
+        settings_table log(top.subtable("log"), "log.", file, errors);
         readLogLevel(log, values.logLevel);
         log.read("file", values.logFile);
         log.refuseUnknownKeys();
 
-        table_reader cluster(top.subtable("cluster"), "cluster.", file, errors);
+        settings_table cluster(top.subtable("cluster"), "cluster.", file, errors);
         cluster.read("id", values.clusterId);
         cluster.read("secret_file", values.secretFile);
         if (const auto* const instances = cluster.array("instances")) {
--- a/chervilport/settings/table_reader.cpp
+++ b/chervilport/settings/settings_table.cpp
@@ -1,4 +1,4 @@
-#include "chervilport/settings/table_reader.h"
+#include "chervilport/settings/settings_table.h"
 
 #include "chervilport/settings/settings_reader.h"
 
@@ -6,7 +6,7 @@
 
 namespace chervilport {
 
-table_reader::table_reader(
+settings_table::settings_table(
     const toml::table* table, std::string prefix, const std::string& file, std::vector<settings_error>& errors)
     : m_table(table)
     , m_prefix(std::move(prefix))
@@ -15,7 +15,7 @@
 {
 }
 
-void table_reader::read(
+void settings_table::read(
     std::string_view key, std::chrono::milliseconds& value, std::int64_t lowest, std::int64_t highest)
 {
     std::int64_t number = value.count();
@@ -23,7 +23,7 @@
         value = std::chrono::milliseconds(number);
 }
 
-void table_reader::read(std::string_view key, std::string& value)
+void settings_table::read(std::string_view key, std::string& value)
 {
     const auto* const node = find(key);
     if (!node)
@@ -34,7 +34,7 @@
         fail(key, "must be a text in quotes");
 }
 
-void table_reader::read(std::string_view key, bool& value)
+void settings_table::read(std::string_view key, bool& value)
 {
     const auto* const node = find(key);
     if (!node)
@@ -45,7 +45,7 @@
         fail(key, "must be true or false");
 }
 
-void table_reader::readAddress(std::string_view key, std::string& value)
+void settings_table::readAddress(std::string_view key, std::string& value)
 {
     std::string text = value;
     const auto faults = m_errors.size();
@@ -60,7 +60,7 @@
     value = text;
 }
 
-const toml::table* table_reader::subtable(std::string_view key)
+const toml::table* settings_table::subtable(std::string_view key)
 {
     const auto* const node = find(key);
     if (!node)
@@ -70,7 +70,7 @@
     return node->as_table();
 }
 
-const toml::array* table_reader::array(std::string_view key)
+const toml::array* settings_table::array(std::string_view key)
 {
     const auto* const node = find(key);
     if (!node)
@@ -80,14 +80,14 @@
     return node->as_array();
 }
 
-void table_reader::fail(std::string_view key, const std::string& message)
+void settings_table::fail(std::string_view key, const std::string& message)
 {
     const auto* const node = m_table ? m_table->get(key) : nullptr;
     const auto line = node ? static_cast<std::uint32_t>(node->source().begin.line) : 0;
     m_errors.push_back({ m_file, line, m_prefix + std::string(key), message });
 }
 
-void table_reader::refuseUnknownKeys()
+void settings_table::refuseUnknownKeys()
 {
     if (!m_table)
         return;
@@ -97,7 +97,7 @@
     }
 }
 
-bool table_reader::readInteger(std::string_view key, std::int64_t& value, std::int64_t lowest, std::int64_t highest)
+bool settings_table::readInteger(std::string_view key, std::int64_t& value, std::int64_t lowest, std::int64_t highest)
 {
     const auto* const node = find(key);
     if (!node)
@@ -111,7 +111,7 @@
     return false;
 }
 
-const toml::node* table_reader::find(std::string_view key)
+const toml::node* settings_table::find(std::string_view key)
 {
     m_known.emplace(key);
     return m_table ? m_table->get(key) : nullptr;
--- a/chervilport/settings/table_reader.h
+++ b/chervilport/settings/settings_table.h
@@ -14,10 +14,10 @@
 namespace chervilport {
 
 /// Reads the keys of one TOML table, notes every fault, and reports keys that nobody asked for.
-class table_reader {
+class settings_table {
 public:
     /// Reads from `table`, which may be null for a missing one. `prefix` is the full key of the table, ending in a dot.
-    table_reader(
+    settings_table(
         const toml::table* table, std::string prefix, const std::string& file, std::vector<settings_error>& errors);
 
     /// Reads a whole number within the bounds, both included.
--- a/tests/configuration/configuration_state_test.cpp
+++ b/tests/configuration/configuration_state_test.cpp
@@ -139,7 +139,7 @@
     cr_assert_eq(std::get<put_trial>(decodeCommand(bytes).action).document, "x = \"\xff\"");
     for (const auto& damaged : { bytes.substr(1), bytes.substr(0, bytes.size() - 1), std::string() }) {
         cr_assert_throw(decodeCommand(damaged), chervilport_error);
-        cr_assert_throw(decodeState(damaged), chervilport_error);
+        cr_assert_throw(decodeConfigurationState(damaged), chervilport_error);
     }
 }
 
@@ -160,7 +160,7 @@
             const bool proven = state.trialProven;
             const auto answer = applyCommand(state, command, time);
             RC_ASSERT(answer == applyCommand(replica, decodeCommand(encodeCommand(command)), time));
-            replica = decodeState(encodeState(replica));
+            replica = decodeConfigurationState(encodeConfigurationState(replica));
 
             const auto nowInProduction = state.production ? state.production->version : 0;
             RC_ASSERT(nowInProduction >= production);
@@ -175,6 +175,6 @@
             else if (!added)
                 RC_ASSERT(answer.error == error_kind::KeyReused);
         }
-        RC_ASSERT(encodeState(replica) == encodeState(state));
+        RC_ASSERT(encodeConfigurationState(replica) == encodeConfigurationState(state));
     }));
 }
