Check who calls the control interface

Cause: with tokens configured, the request path was guarded and the job and configuration calls were open. Change: the instance that gets a call verifies the token and marks the call with the workspace it is bound to; operators' paths refuse workspace tokens; a job is shown, listed and cancelled only within its workspace. Conclusion: one policy guards both paths.

--- a/chervilport/instance/configuration_controller.cpp
+++ b/chervilport/instance/configuration_controller.cpp
@@ -144,7 +144,7 @@
     auto command = makeCommand(request);
     const auto expected = readNumber(findHeader(request.headers, expectedHeader), expectedHeader);
     command.action = put_trial { expected, request.body };
-    submit(std::move(command), reply);
+    submit(command, reply);
 }
 
 void configuration_controller::prove(const http_request& request, const reply_callback& reply)
@@ -160,7 +160,7 @@
             return;
         auto proven = command;
         proven.action = prove_trial { version, std::move(capacity) };
-        self->submit(std::move(proven), reply);
+        self->submit(proven, reply);
     });
 }
 
@@ -173,10 +173,10 @@
     const auto hash = readNumber(reader.requiredText("hash", maxHashDigits), "hash", hexBase);
     reader.refuseUnknown();
     command.action = promote_trial { version, hash };
-    submit(std::move(command), reply);
+    submit(command, reply);
 }
 
-void configuration_controller::submit(configuration_command command, const reply_callback& reply)
+void configuration_controller::submit(const configuration_command& command, const reply_callback& reply)
 {
     const auto group = m_group.lock();
     if (!group)
--- a/chervilport/instance/configuration_controller.h
+++ b/chervilport/instance/configuration_controller.h
@@ -71,7 +71,7 @@
     const production_copy& production() const { return m_production; }
 
 private:
-    void submit(configuration_command, const reply_callback&);
+    void submit(const configuration_command&, const reply_callback&);
     void put(const http_request&, const reply_callback&);
     void prove(const http_request&, const reply_callback&);
     void promote(const http_request&, const reply_callback&);
--- a/chervilport/instance/control_api.cpp
+++ b/chervilport/instance/control_api.cpp
@@ -144,9 +144,9 @@
         const auto limit = readLimit(queryParameter(query, "limit"));
         onLeader(call, [this, call, submits, workspace, limit] {
             if (submits)
-                m_parts.jobs->submit(call->request.body, call->reply);
+                m_parts.jobs->submit(call->request, call->reply);
             else
-                m_parts.jobs->list(workspace, limit, call->reply);
+                m_parts.jobs->list(call->request, workspace, limit, call->reply);
         });
         return;
     }
@@ -159,9 +159,9 @@
     }
     onLeader(call, [this, call, id] {
         if (call->request.method == "GET")
-            m_parts.jobs->show(id, call->reply);
+            m_parts.jobs->show(call->request, id, call->reply);
         else
-            m_parts.jobs->cancel(id, call->reply);
+            m_parts.jobs->cancel(call->request, id, call->reply);
     });
 }
 
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -4,8 +4,10 @@
 #include "chervilport/http/error_response.h"
 #include "chervilport/http/http_client.h"
 #include "chervilport/http/http_listener.h"
+#include "chervilport/instance/control_access.h"
 #include "chervilport/instance/control_plane.h"
 #include "chervilport/instance/data_plane.h"
+#include "chervilport/instance/read_tokens.h"
 #include "chervilport/instance/routing_notice.h"
 #include "chervilport/instance/split_address.h"
 #include "chervilport/instance/worker_announcement.h"
@@ -75,6 +77,7 @@
         , signals(context, SIGTERM, SIGINT)
         , stopTimer(context)
         , client(context)
+        , access(readTokens(values.tokenFile))
         , control(values, metrics, controlHooks())
         , data(context, values, control.incarnation(), client, metrics, dataHooks())
         , listener(context, listenerSettings(values),
@@ -99,6 +102,7 @@
     asio::signal_set signals;
     asio::steady_timer stopTimer;
     http_client client;
+    access_policy access;
     metric_registry metrics;
     control_plane control;
     data_plane data;
@@ -228,6 +232,7 @@
     // Internal paths are for other instances only, which use another listener.
     if (request.target.starts_with("/internal"))
         throw chervilport_error(error_kind::NotFound, "there is nothing at this path");
+    checkControlAccess(access, request);
     if (request.target.starts_with(upstreamsPath)) {
         handleUpstreams(request, responder);
         return;
--- a/chervilport/instance/job_controller.cpp
+++ b/chervilport/instance/job_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/http/error_response.h"
+#include "chervilport/instance/control_access.h"
 #include "chervilport/instance/domain_controller.h"
 #include "chervilport/instance/job_json.h"
 #include "chervilport/logging/log.h"
@@ -38,9 +39,10 @@
 {
 }
 
-void job_controller::submit(std::string_view body, reply_callback reply)
+void job_controller::submit(const http_request& request, reply_callback reply)
 {
-    auto submission = parseJobSubmission(body);
+    auto submission = parseJobSubmission(request.body);
+    checkCallerWorkspace(request, submission.spec.workspace);
     if (submission.deadlineIn)
         submission.spec.deadline = m_domain->logNow() + *submission.deadlineIn;
     m_domain->submit(job_submitted { submission.spec },
@@ -65,16 +67,14 @@
         });
 }
 
-void job_controller::show(std::string_view id, const reply_callback& reply) const
+void job_controller::show(const http_request& request, std::string_view id, const reply_callback& reply) const
 {
-    reply(describe(numberOf(id), 200));
+    reply(describe(checkedNumber(request, id), 200));
 }
 
-void job_controller::cancel(std::string_view id, reply_callback reply)
+void job_controller::cancel(const http_request& request, std::string_view id, reply_callback reply)
 {
-    const auto number = numberOf(id);
-    if (!findJob(m_domain->schedule(), static_cast<job_id>(number)))
-        throw chervilport_error(error_kind::NotFound, "no job has the id " + std::string(id));
+    const auto number = checkedNumber(request, id);
     m_domain->submit(job_cancelled { static_cast<job_id>(number) },
         [self = shared_from_this(), number, reply = std::move(reply)](
             proposal_result result, std::span<const command>) {
@@ -82,8 +82,10 @@
         });
 }
 
-void job_controller::list(std::string_view workspace, std::size_t limit, const reply_callback& reply) const
+void job_controller::list(
+    const http_request& request, std::string_view workspace, std::size_t limit, const reply_callback& reply) const
 {
+    checkCallerWorkspace(request, workspace);
     nlohmann::json jobs = nlohmann::json::array();
     for (const auto& job : listJobs(m_domain->schedule(), workspace, limit))
         jobs.push_back(jobToJson(m_failureDomain, job));
@@ -100,11 +102,15 @@
     return jsonResponse(status, jobToJson(m_failureDomain, *job));
 }
 
-std::uint64_t job_controller::numberOf(std::string_view id) const
+std::uint64_t job_controller::checkedNumber(const http_request& request, std::string_view id) const
 {
     const auto parsed = parseJobId(id);
     if (parsed.failureDomain != m_failureDomain)
         throw chervilport_error(error_kind::NotFound, "the job belongs to failure domain " + parsed.failureDomain);
+    const auto job = findJob(m_domain->schedule(), parsed.number);
+    if (!job)
+        throw chervilport_error(error_kind::NotFound, "no job has the id " + std::string(id));
+    checkCallerWorkspace(request, job->spec.workspace);
     return static_cast<std::uint64_t>(parsed.number);
 }
 
--- a/chervilport/instance/job_controller.h
+++ b/chervilport/instance/job_controller.h
@@ -11,7 +11,8 @@
 
 class domain_controller;
 
-/// Serves the calls about jobs on the leader of a domain. Runs on the control thread.
+/// Serves the calls about jobs on the leader of a domain. A caller that is bound to a workspace sees and changes only
+/// its jobs; others throw chervilport_error of kind Forbidden. Runs on the control thread.
 class job_controller : public std::enable_shared_from_this<job_controller> {
 public:
     /// Called once with the answer to a call.
@@ -21,20 +22,20 @@
     job_controller(std::string failureDomain, std::shared_ptr<domain_controller>);
 
     /// Submits a job: answers 201 with the job once it is committed, or 200 when its client key was known.
-    void submit(std::string_view body, reply_callback);
+    void submit(const http_request&, reply_callback);
 
     /// Answers 200 with the job, or `not_found`.
-    void show(std::string_view id, const reply_callback&) const;
+    void show(const http_request&, std::string_view id, const reply_callback&) const;
 
     /// Cancels a job and answers 200 with it.
-    void cancel(std::string_view id, reply_callback);
+    void cancel(const http_request&, std::string_view id, reply_callback);
 
     /// Answers 200 with the newest jobs of a workspace, or of all when the name is empty.
-    void list(std::string_view workspace, std::size_t limit, const reply_callback&) const;
+    void list(const http_request&, std::string_view workspace, std::size_t limit, const reply_callback&) const;
 
 private:
     http_response describe(std::uint64_t number, int status) const;
-    std::uint64_t numberOf(std::string_view id) const;
+    std::uint64_t checkedNumber(const http_request&, std::string_view id) const;
 
     std::string m_failureDomain;
     std::shared_ptr<domain_controller> m_domain;
