Search restarts without a disk, and test the withdrawal of a proof

Change: a third search with a restart under a new incarnation; the committed entries are part of the state key, so that no path is cut because of a state with another history. A test for the withdrawal.

--- a/tests/configuration/configuration_state_test.cpp
+++ b/tests/configuration/configuration_state_test.cpp
@@ -128,6 +128,13 @@
     cr_assert_eq(answer.problems.front().line, 17);
     cr_assert_eq(answer.problems.front().key, "workspace.rosters.domain.seattle.guarantee.0.count");
     cr_assert(applyCommand(state, promote("c", 1, state.trial->hash), now).error == error_kind::InvalidRequest);
+
+    applyCommand(state, put("e", 1, sampleDocument()), now);
+    applyCommand(state, prove("f", 2), now);
+    auto withoutWorkers = prove("g", 2);
+    std::get<prove_trial>(withoutWorkers.action).capacity.clear();
+    cr_assert(applyCommand(state, withoutWorkers, now).error == error_kind::Infeasible);
+    cr_assert(applyCommand(state, promote("h", 2, state.trial->hash), now).error == error_kind::InvalidRequest);
     cr_assert(
         applyCommand(state, put("d", 1, std::string(maxDocumentBytes + 1, '#')), now).error == error_kind::TooLarge);
 }
--- a/tests/consensus/exhaustive_test.cpp
+++ b/tests/consensus/exhaustive_test.cpp
@@ -78,17 +78,17 @@
             << static_cast<int>(one.role) << ' ' << static_cast<std::uint64_t>(one.leader.value_or(member_id {})) << ' '
             << one.commitIndex << ' ' << one.votes.size() << '[';
         for (const auto& entry : one.log.entries)
-            out << entry.term << ',' << entry.payload.size() << ' ';
+            out << entry.term << ',' << std::hash<std::string> {}(entry.payload) << ' ';
         for (const auto& [id, peer] : one.peers)
             out << peer.match << '/' << peer.next << static_cast<int>(peer.mode) << peer.probePending
-                << peer.inflight.size() << ' ';
-        out << "]\n";
+                << peer.inflight.size() << peer.incarnation << peer.restartedAs.value_or(0) << ' ';
+        out << "]" << one.config.self.incarnation << '\n';
     }
     std::vector<std::string> messages;
     for (const auto& sent : state.inFlight) {
         std::ostringstream text;
         text << static_cast<std::uint64_t>(sent.from) << static_cast<std::uint64_t>(sent.to) << sent.term << ':'
-             << sent.body.index() << ' ';
+             << sent.body.index() << ' ' << sent.fromIncarnation << ' ';
         if (const auto* append = std::get_if<append_request>(&sent.body)) {
             text << append->previousIndex << ' ' << append->previousTerm << ' ' << append->commitIndex;
             for (const auto& entry : append->entries)
@@ -103,6 +103,8 @@
     std::sort(messages.begin(), messages.end());
     for (const auto& text : messages)
         out << text << '\n';
+    for (const auto& [index, entry] : state.committed)
+        out << entry.term << ' ';
     out << state.left.elections << state.left.proposals << state.left.crashes;
     return out.str();
 }
@@ -172,7 +174,11 @@
     static world afterCrash(world next, int at)
     {
         --next.left.crashes;
-        const auto config = next.members[at].config;
+        auto config = next.members[at].config;
+        if (!config.self.hasDisk) {
+            ++config.self.incarnation;
+            next.disks[at] = {};
+        }
         next.members[at] = *makeReplica(config, next.disks[at], next.members[at].now);
         return next;
     }
@@ -182,11 +188,11 @@
     std::unordered_map<std::size_t, int> m_seen;
 };
 
-world start(const std::array<persisted_state, memberCount>& disks, const budget& left)
+world start(const std::array<persisted_state, memberCount>& disks, const budget& left, bool hasDisks = true)
 {
     membership members;
     for (int id = 1; id <= memberCount; ++id)
-        members.voters.push_back({ member_id(id), 1, true });
+        members.voters.push_back({ member_id(id), 1, hasDisks });
     world first;
     first.disks = disks;
     first.left = left;
@@ -224,3 +230,11 @@
     all.explore(start({ first, second, third }, { 2, 0, 0 }));
     cr_assert_gt(all.states(), 10'000);
 }
+
+// Guards against a vote or acknowledgement of an incarnation that forgot being counted for the one that gave it.
+Test(exhaustive, oneRestartWithoutADisk)
+{
+    search all(10);
+    all.explore(start({}, { 2, 0, 1 }, false));
+    cr_assert_gt(all.states(), 10'000);
+}
