Count the leader's own log only when nothing is left unsynced

Cause: replica_group called persisted() while an output of a nested proposal was still queued, so that the replica could count entries that were not synced; found by reading the contract of the replicated log. Change: all queued outputs are carried out before persisted() is called. Status lists members with their incarnations. Conclusion: the order is as the module asks.

--- a/chervilport/instance/control_core_calls.cpp
+++ b/chervilport/instance/control_core_calls.cpp
@@ -43,20 +43,24 @@
         return "unknown";
     }
 
+    nlohmann::json describeMembers(std::span<const member> members)
+    {
+        auto list = nlohmann::json::array();
+        for (const auto& each : members) {
+            list.push_back({ { "instance", static_cast<std::uint64_t>(each.id) }, { "incarnation", each.incarnation },
+                { "disk", each.hasDisk } });
+        }
+        return list;
+    }
+
     nlohmann::json describeGroup(const replica_group& group)
     {
         const auto status = group.status();
-        auto voters = nlohmann::json::array();
-        for (const auto& voter : status.members.voters)
-            voters.push_back(static_cast<std::uint64_t>(voter.id));
-        auto learners = nlohmann::json::array();
-        for (const auto& learner : status.members.learners)
-            learners.push_back(static_cast<std::uint64_t>(learner.id));
         return { { "role", roleName(status.role) }, { "term", status.term },
             { "leader", status.leader ? nlohmann::json(static_cast<std::uint64_t>(*status.leader)) : nullptr },
             { "commit_index", status.commitIndex }, { "applied_index", group.appliedIndex() },
-            { "storage_failed", group.hasFailed() }, { "voters", std::move(voters) },
-            { "learners", std::move(learners) } };
+            { "storage_failed", group.hasFailed() }, { "voters", describeMembers(status.members.voters) },
+            { "learners", describeMembers(status.members.learners) } };
     }
 
     double secondsBetween(log_time from, log_time to) { return std::chrono::duration<double>(to - from).count(); }
--- a/chervilport/instance/replica_group.cpp
+++ b/chervilport/instance/replica_group.cpp
@@ -164,25 +164,39 @@
     if (m_processing)
         return;
     m_processing = true;
+    bool settled = false;
+    while (!settled && !m_failed) {
+        const bool durable = processQueued();
+        // The leader counts itself only once nothing that was handed out is left unsynced.
+        if (durable && !m_failed)
+            m_outputs.push_back(chervilport::persisted(*m_replica, monotonicNow()));
+        if (!m_outputs.empty() || m_failed)
+            continue;
+        settleOnLostLeadership();
+        compactIfDue();
+        reportStatus();
+        settled = m_outputs.empty();
+    }
+    m_processing = false;
+    m_outputs.clear();
+}
+
+bool replica_group::processQueued()
+{
+    bool durable = false;
     while (!m_outputs.empty() && !m_failed) {
         auto next = std::move(m_outputs.front());
         m_outputs.pop_front();
+        durable |= persistsSomething(next);
         processOne(std::move(next));
-        if (m_outputs.empty() && !m_failed) {
-            settleOnLostLeadership();
-            compactIfDue();
-            reportStatus();
-        }
     }
-    m_processing = false;
-    m_outputs.clear();
+    return durable;
 }
 
 void replica_group::processOne(replica_output output)
 {
     // Make the output durable before its messages leave.
-    const bool durable = persistsSomething(output);
-    if (durable) {
+    if (persistsSomething(output)) {
         try {
             persist(output);
         } catch (const chervilport_error& error) {
@@ -199,10 +213,6 @@
     if (!output.messages.empty())
         m_hooks.send(std::move(output.messages));
     applyCommitted(output.committed);
-
-    // The leader counts itself only after its entries are durable.
-    if (durable && !m_failed)
-        m_outputs.push_back(chervilport::persisted(*m_replica, monotonicNow()));
 }
 
 void replica_group::persist(const replica_output& output)
--- a/chervilport/instance/replica_group.h
+++ b/chervilport/instance/replica_group.h
@@ -92,6 +92,7 @@
 
     void scheduleTick();
     void process(replica_output);
+    bool processQueued();
     void processOne(replica_output);
     void persist(const replica_output&);
     void applyCommitted(const std::vector<log_entry>&);
--- /dev/null
+++ b/tests/session/session_cluster.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "tests/session/child_process.h"
+#include "tests/session/session_call.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilport {
+
+/// What a test wants an instance to be.
+struct session_instance {
+    /// Number, from 1.
+    std::uint64_t id = 1;
+    /// Failure domain.
+    std::string failureDomain = "local";
+    /// Whether it has a data folder.
+    bool hasDisk = true;
+    /// Whether it is a voter of the fleet log.
+    bool fleetVoter = false;
+};
+
+/// Real processes of a test on a loopback address of its own, so that its ports cannot meet those of other processes.
+class session_cluster {
+public:
+    /// Writes the settings of the instances; nothing is started. `extraSettings` is TOML for all of them.
+    explicit session_cluster(std::vector<session_instance>, const std::string& extraSettings = {});
+    ~session_cluster();
+
+    session_cluster(const session_cluster&) = delete;
+    session_cluster& operator=(const session_cluster&) = delete;
+
+    /// Starts an instance; `initialize` is empty, `cluster` or `domain`.
+    void start(std::uint64_t id, const std::string& initialize = {});
+
+    /// Starts all instances: the first one begins the cluster, the first of each further domain its domain.
+    void startAll();
+
+    /// Kills an instance with SIGKILL.
+    void kill(std::uint64_t id);
+
+    /// Sends SIGTERM to an instance.
+    void terminate(std::uint64_t id) const;
+
+    /// Waits for the end of an instance and returns its exit code.
+    int wait(std::uint64_t id);
+
+    /// Returns the address of an instance's HTTP listener.
+    std::string address(std::uint64_t id) const;
+
+    /// Starts a stand-in that announces to the given instances; returns its position for `standin`.
+    std::size_t startStandin(const std::string& path, const std::vector<std::uint64_t>& instances,
+        const std::vector<std::string>& arguments);
+
+    /// Returns a stand-in.
+    child_process& standin(std::size_t position) { return m_standins.at(position); }
+
+    /// Returns the folder of the test.
+    const std::string& folder() const { return m_folder; }
+
+    /// Returns the status document of an instance; empty when it does not answer.
+    nlohmann::json status(std::uint64_t id) const;
+
+    /// Returns the instance that leads the domain of the given instance, 0 when it knows none.
+    std::uint64_t leader(std::uint64_t id) const;
+
+private:
+    void writeSettings(const session_instance&, const std::string& extraSettings) const;
+
+    std::vector<session_instance> m_instances;
+    std::string m_folder;
+    std::string m_ip;
+    std::map<std::uint64_t, std::uint16_t> m_httpPorts;
+    std::map<std::uint64_t, std::uint16_t> m_peerPorts;
+    std::map<std::uint64_t, child_process> m_processes;
+    std::vector<child_process> m_standins;
+};
+
+/// Calls the function until it returns true. Throws after two minutes, which only keeps a test from hanging for good.
+void waitUntil(const std::string& what, const std::function<bool()>&);
+
+} // namespace chervilport
