--- a/tests/transport/codec_test.cpp
+++ b/tests/transport/codec_test.cpp
@@ -68,6 +68,27 @@
     return content;
 }
 
+/// Opens a plain connection to a node.
+int connectTo(const transport_node& server)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(server.transport.port());
+    cr_assert_eq(::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return fd;
+}
+
+/// Reads until the other end closes the connection.
+void drain(int fd)
+{
+    char rest[4096];
+    while (::recv(fd, rest, sizeof(rest), 0) > 0)
+        continue;
+    ::close(fd);
+}
+
 /// Describes all fields of a message, to compare messages that have no equality of their own.
 std::vector<std::uint64_t> numbersOf(const scoped_message& value)
 {
@@ -137,22 +158,27 @@
     transport_node server(1);
     server.start();
     cr_assert(rc::check([&] {
-        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(server.transport.port());
-        RC_ASSERT(::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        const int fd = connectTo(server);
         const auto junk = "\x20" + std::string(3, '\0') + bytes() + std::string(40, 'x');
         ::send(fd, junk.data(), junk.size(), MSG_NOSIGNAL);
         ::shutdown(fd, SHUT_WR);
-        char rest[4096];
-        while (::recv(fd, rest, sizeof(rest), 0) > 0)
-            continue;
-        ::close(fd);
+        drain(fd);
     }));
     transport_node sender(2);
     sender.start({ server.address(1) });
     sender.transport.send(member_id { 1 }, heartbeat(2, 1, 1));
     server.wait([&] { return server.envelopes.size() == 1; });
 }
+
+// Guards against memory that anyone can have reserved: before hello, a claimed length of 1 MiB ends the connection.
+Test(codec, stranger_cannot_announce_a_large_message)
+{
+    transport_limits limits;
+    limits.answerTimeout = std::chrono::hours(1);
+    transport_node server(1, 1, limits);
+    server.start();
+    const int fd = connectTo(server);
+    const char length[] = { 0, 0, 16, 0 };
+    ::send(fd, length, sizeof(length), MSG_NOSIGNAL);
+    drain(fd);
+}
--- a/tests/transport/deliver_test.cpp
+++ b/tests/transport/deliver_test.cpp
@@ -74,6 +74,29 @@
     cr_assert_eq(roundOf(restarted.envelopes[0].second.messages[0]), 9);
 }
 
+// Guards against a removed peer that still gets messages, and against a moved one that does not.
+Test(deliver, peers_can_be_removed_and_moved)
+{
+    transport_node first(1);
+    first.start();
+    transport_node second(1, 2);
+    second.start();
+    transport_node sender(2);
+    sender.start({ first.address(1) });
+    sender.waitConnected(1);
+    sender.transport.setPeers({});
+    sender.waitCounters(
+        [](const transport_counters& counters) { return counters.peers.at(member_id { 1 }).disconnects == 1; });
+    sender.transport.send(member_id { 1 }, heartbeat(2, 1, 1));
+    sender.transport.setPeers({ second.address(1) });
+    sender.waitConnected(1, 2);
+    sender.transport.send(member_id { 1 }, heartbeat(2, 1, 2));
+    second.wait([&] { return !second.envelopes.empty(); });
+    cr_assert_eq(roundOf(second.envelopes[0].second.messages[0]), 2);
+    first.transport.stop();
+    cr_assert(first.envelopes.empty());
+}
+
 // Guards against a queue that grows while a peer is unreachable.
 Test(deliver, queue_towards_an_unreachable_peer_is_bounded)
 {
--- a/tests/transport/hello_test.cpp
+++ b/tests/transport/hello_test.cpp
@@ -96,6 +96,7 @@
     server.waitCounters([](const transport_counters& counters) { return counters.accepted >= 2; });
     server.transport.stop();
     cr_assert(server.envelopes.empty());
+    cr_assert_eq(node.transport.counters().peers.at(member_id { 2 }).connects, 0);
 }
 
 // Guards against name lookups, which block and depend on a service that may be down.
