--- a/chervilport/storage/file_system.cpp
+++ b/chervilport/storage/file_system.cpp
@@ -37,7 +37,14 @@
         return handle;
     }
 
-    std::string nameOf(int handle) { return "file handle " + std::to_string(handle); }
+    [[noreturn]] void fail(const char* operation, int handle)
+    {
+        const int code = errno;
+        std::error_code error;
+        const auto path = std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(handle), error).string();
+        errno = code;
+        fail(operation, error ? "file handle " + std::to_string(handle) : path);
+    }
 
     void writeAll(int handle, std::string_view bytes)
     {
@@ -46,7 +53,7 @@
             if (count < 0 && errno == EINTR)
                 continue;
             if (count < 0)
-                fail("write", nameOf(handle));
+                fail("write", handle);
             bytes.remove_prefix(static_cast<std::size_t>(count));
         }
     }
@@ -55,7 +62,7 @@
     {
         // A failed sync is never repeated: the kernel may have dropped the pages that it could not write.
         if (::fdatasync(handle) != 0)
-            fail("sync", nameOf(handle));
+            fail("sync", handle);
     }
 
     std::string readFile(const std::string& path)
--- a/chervilport/transport/detail/accepted_connection.cpp
+++ b/chervilport/transport/detail/accepted_connection.cpp
@@ -174,8 +174,7 @@
     if (const auto reason = judge(request)) {
         reply.setRefusal(*reason);
         m_context.counters.update([](transport_counters& counters) { ++counters.refusals; });
-        m_context.log("transport: refused " + nameOf(member_id { request.getInstanceId() }) + ", reason "
-            + std::to_string(static_cast<unsigned>(*reason)));
+        m_context.log("transport: refused " + nameOf(member_id { request.getInstanceId() }) + ": " + textOf(*reason));
         return;
     }
     accept(request);
--- a/chervilport/transport/detail/peer_link.cpp
+++ b/chervilport/transport/detail/peer_link.cpp
@@ -33,21 +33,6 @@
         return bytes;
     }
 
-    const char* nameOf(wire::Refusal refusal)
-    {
-        switch (refusal) {
-        case wire::Refusal::WRONG_PROTOCOL:
-            return "it speaks another protocol version";
-        case wire::Refusal::STRANGER:
-            return "cluster id or secret differ";
-        case wire::Refusal::OLD_INCARNATION:
-            return "it has seen a newer incarnation of this instance";
-        case wire::Refusal::OWN_ID:
-            return "it has the same instance id";
-        }
-        return "unknown reason";
-    }
-
 } // namespace
 
 /// One established TCP connection.
@@ -137,7 +122,7 @@
         .then([this](const std::string& reason) {
             endConnection(reason);
             m_pausing = true;
-            failAll(false, "no connection to " + chervilport::nameOf(m_address.id) + ": " + reason);
+            failAll(false, "no connection to " + nameOf(m_address.id) + ": " + reason);
             return m_timer.afterDelay(nextPause());
         })
         .then([this] {
@@ -170,7 +155,7 @@
         auto reply = response.getReply();
         if (reply.isRefusal()) {
             m_context->counters.updatePeer(m_address.id, [](peer_counters& counters) { ++counters.refusedByPeer; });
-            requireOnWire(false, std::string("refused: ") + nameOf(reply.getRefusal()));
+            requireOnWire(false, std::string("refused: ") + textOf(reply.getRefusal()));
         }
         auto accepted = reply.getAccepted();
         requireOnWire(accepted.getInstanceId() == static_cast<std::uint64_t>(m_address.id),
@@ -190,7 +175,7 @@
         ++counters.connects;
         counters.connected = true;
     });
-    m_context->log("transport: connected to " + chervilport::nameOf(m_address.id));
+    m_context->log("transport: connected to " + nameOf(m_address.id));
     if (m_context->callbacks.onConnected)
         m_context->callbacks.onConnected(m_address.id, incarnation);
 
@@ -217,7 +202,7 @@
         ++counters.disconnects;
         counters.connected = false;
     });
-    m_context->log("transport: lost the connection to " + chervilport::nameOf(m_address.id) + ": " + reason);
+    m_context->log("transport: lost the connection to " + nameOf(m_address.id) + ": " + reason);
     if (m_context->callbacks.onDisconnected)
         m_context->callbacks.onDisconnected(m_address.id);
 }
@@ -299,7 +284,7 @@
         return;
     }
     if (m_pausing) {
-        call.fail(false, error_kind::Unavailable, "no connection to " + chervilport::nameOf(m_address.id));
+        call.fail(false, error_kind::Unavailable, "no connection to " + nameOf(m_address.id));
         return;
     }
     m_calls.emplace(id, std::move(call));
--- a/chervilport/transport/detail/wire_codec.cpp
+++ b/chervilport/transport/detail/wire_codec.cpp
@@ -300,4 +300,19 @@
     refuse("unknown kind of reply");
 }
 
+const char* textOf(wire::Refusal refusal)
+{
+    switch (refusal) {
+    case wire::Refusal::WRONG_PROTOCOL:
+        return "another protocol version";
+    case wire::Refusal::STRANGER:
+        return "another cluster id or secret";
+    case wire::Refusal::OLD_INCARNATION:
+        return "a newer incarnation is known";
+    case wire::Refusal::OWN_ID:
+        return "the instance id is that of the listener";
+    }
+    return "unknown reason";
+}
+
 } // namespace chervilport
--- a/chervilport/transport/detail/wire_codec.h
+++ b/chervilport/transport/detail/wire_codec.h
@@ -27,4 +27,7 @@
 /// Reads a reply to a forwarded call. Throws as `readEnvelope`.
 forward_reply readReply(wire::CallReply::Reader);
 
+/// Returns the reason of a refused `hello` for logs.
+const char* textOf(wire::Refusal);
+
 } // namespace chervilport
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -100,7 +100,13 @@
     cr_assert_throw(files.syncFolder("/nonexistent"), chervilport_error);
     cr_assert_throw(files.list("/nonexistent"), chervilport_error);
     const file_handle full(files, files.create("/dev/full"));
-    cr_assert_throw(files.write(full.get(), "bytes"), chervilport_error);
+    std::string message;
+    try {
+        files.write(full.get(), "bytes");
+    } catch (const chervilport_error& error) {
+        message = error.what();
+    }
+    cr_assert_eq(message, "write of /dev/full failed: No space left on device");
 }
 
 // Guards against groups that overwrite each other.
