--- /dev/null
+++ b/benchmarks/requests/scenarios.cpp
@@ -0,0 +1,227 @@
+#include "benchmarks/requests/scenarios.h"
+
+#include "benchmarks/requests/load_run.h"
+#include "benchmarks/requests/test_bed.h"
+#include "benchmarks/requests/truth_check.h"
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr int hosts = 3;
+    constexpr int executors = 16;
+
+    struct bench_context {
+        std::uint64_t seed = 1;
+        double scale = 1;
+        asio::io_context io { 1 };
+        http_client client { io };
+        // Without work between two steps the io_context would count as stopped.
+        asio::executor_work_guard<asio::io_context::executor_type> guard { io.get_executor() };
+
+        int scaled(int requests) const { return static_cast<int>(requests * scale); }
+    };
+
+    double fairnessOf(const load_result& result)
+    {
+        std::map<std::string, double> byWorkspace;
+        for (const auto& [name, record] : result.records)
+            byWorkspace[record.workspace] += record.end == load_end::Result ? 1 : 0;
+        double sum = 0;
+        double squares = 0;
+        for (const auto& [workspace, count] : byWorkspace) {
+            sum += count;
+            squares += count * count;
+        }
+        return sum * sum / (static_cast<double>(byWorkspace.size()) * squares);
+    }
+
+    // Runs a plan and compares its result with the records of the executors.
+    scenario_row measure(bench_context& bench, const test_bed& bed, const load_plan& plan)
+    {
+        const auto before = readRecords(bench.io, bench.client, bed.executors());
+        const auto result = runLoad(bench.io, bench.client, plan);
+        const auto after = readRecords(bench.io, bench.client, bed.executors());
+        const auto truth = checkTruth(result, after);
+        scenario_row row;
+        row.scenario = plan.name;
+        row.requests = plan.requests;
+        row.lost = truth.lost;
+        row.cut = truth.cut;
+        row.doubleRuns = truth.doubleRuns;
+        row.falseNotRun = truth.falseNotRun;
+        row.p99Ms = result.latencyMs(0.99);
+        row.requestsPerSecond = plan.requests / result.duration.count();
+        row.slotUse = (after.busySeconds - before.busySeconds) / (after.slots * result.duration.count());
+        row.residentMb = bed.residentMb();
+        row.mostRunning = after.mostRunning;
+        row.results = result.count(load_end::Result);
+        if (plan.callers.size() > 1)
+            row.fairness = fairnessOf(result);
+        std::cerr << plan.name << ": " << *row.results << " of " << row.requests << " results, "
+                  << result.count(load_end::NotRun) << " not run, " << result.count(load_end::Uncertain)
+                  << " uncertain, " << result.count(load_end::Refused) << " without connection, "
+                  << after.refused - before.refused << " refusals of executors, p50 " << result.latencyMs(0.5)
+                  << " ms, p99 " << *row.p99Ms << " ms\n";
+        return row;
+    }
+
+    // The same load straight to the executors and over the hosts; few callers, so that nothing queues.
+    void runLatency(bench_context& bench, const test_bed& bed, std::vector<scenario_row>& rows)
+    {
+        load_plan plan;
+        plan.callers = { { "rail", 8 } };
+        plan.requests = bench.scaled(8'000);
+        plan.seed = bench.seed;
+        plan.name = "direct";
+        plan.targets = bed.executors();
+        plan.path = "/run";
+        const auto direct = runLoad(bench.io, bench.client, plan);
+        const auto measureAgainst = [&](const std::string& name, double nonIdempotentShare) {
+            plan.name = name;
+            plan.path = load_plan().path;
+            plan.targets = bed.hosts();
+            plan.nonIdempotentShare = nonIdempotentShare;
+            const auto result = runLoad(bench.io, bench.client, plan);
+            const auto truth = checkTruth(result, readRecords(bench.io, bench.client, bed.executors()));
+            scenario_row row;
+            row.scenario = name;
+            row.requests = plan.requests;
+            row.lost = truth.lost;
+            row.cut = truth.cut;
+            row.doubleRuns = truth.doubleRuns;
+            row.falseNotRun = truth.falseNotRun;
+            row.addedP50Ms = result.latencyMs(0.5) - direct.latencyMs(0.5);
+            row.directP99Ms = direct.latencyMs(0.99);
+            row.p99Ms = result.latencyMs(0.99);
+            row.requestsPerSecond = plan.requests / result.duration.count();
+            row.residentMb = bed.residentMb();
+            row.results = result.count(load_end::Result);
+            std::cerr << name << ": direct p50 " << direct.latencyMs(0.5) << " ms, p50 " << result.latencyMs(0.5)
+                      << " ms, p99 " << *row.p99Ms << " ms\n";
+            rows.push_back(row);
+        };
+        measureAgainst("idempotent", 0);
+        measureAgainst("non_idempotent", 1);
+    }
+
+    // More callers than slots, and four workspaces of different size that all want more than their share.
+    void runSaturation(bench_context& bench, const test_bed& bed, std::vector<scenario_row>& rows)
+    {
+        load_plan plan;
+        plan.name = "saturation";
+        plan.targets = bed.hosts();
+        plan.requests = bench.scaled(40'000);
+        plan.callers = { { "bus", 60 }, { "ferry", 60 }, { "rail", 240 }, { "tram", 60 } };
+        plan.serviceTime = std::chrono::milliseconds(40);
+        plan.seed = bench.seed;
+        rows.push_back(measure(bench, bed, plan));
+    }
+
+    void runIdleConnections(bench_context& bench, const test_bed& bed, std::vector<scenario_row>& rows)
+    {
+        constexpr int connections = 1'000;
+        const std::string request = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+        const auto& address = bed.hosts().front();
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        std::list<asio::ip::tcp::socket> sockets;
+        for (int i = 0; i < connections; ++i) {
+            auto& socket = sockets.emplace_back(bench.io);
+            socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+            asio::write(socket, asio::buffer(request));
+            std::array<char, 4096> answer {};
+            socket.read_some(asio::buffer(answer));
+        }
+        scenario_row row;
+        row.scenario = "idle_connections";
+        row.requests = connections;
+        row.residentMb = bed.residentMb();
+        rows.push_back(row);
+    }
+
+    // Executors with every kind of fault among healthy ones.
+    void runFaults(bench_context& bench, std::vector<scenario_row>& rows)
+    {
+        test_bed bed(bench.io, bench.client, hosts);
+        bed.addExecutors(10);
+        for (const auto* const fault : { "die-before", "die-after", "cut", "late", "fail", "refuse" })
+            bed.addExecutors(1, { "--fault", fault, "--fault-share", "0.05", "--seed", std::to_string(bench.seed) });
+        bed.waitUntilReady();
+        load_plan plan;
+        plan.name = "faults";
+        plan.targets = bed.hosts();
+        plan.requests = bench.scaled(100'000);
+        plan.callers = { { "bus", 16 }, { "ferry", 16 }, { "rail", 16 }, { "tram", 16 } };
+        plan.nonIdempotentShare = 0.5;
+        plan.serviceTime = std::chrono::milliseconds(2);
+        plan.resends = true;
+        plan.seed = bench.seed;
+        rows.push_back(measure(bench, bed, plan));
+    }
+
+    // An executor that fails everything at once, the fastest of all.
+    void runFastFailure(bench_context& bench, std::vector<scenario_row>& rows)
+    {
+        test_bed bed(bench.io, bench.client, hosts);
+        bed.addExecutors(executors - 1);
+        bed.addExecutors(1, { "--fault", "fail" });
+        bed.waitUntilReady();
+        load_plan plan;
+        plan.name = "fast_failure";
+        plan.targets = bed.hosts();
+        plan.requests = bench.scaled(20'000);
+        plan.callers = { { "rail", 64 } };
+        plan.nonIdempotentShare = 0.5;
+        plan.seed = bench.seed;
+        rows.push_back(measure(bench, bed, plan));
+    }
+
+    // A host stops as planned in the middle of the load.
+    void runPlannedStop(bench_context& bench, std::vector<scenario_row>& rows)
+    {
+        test_bed bed(bench.io, bench.client, hosts);
+        bed.addExecutors(executors);
+        bed.waitUntilReady();
+        load_plan plan;
+        plan.name = "planned_stop";
+        plan.targets = bed.hosts();
+        plan.requests = bench.scaled(10'000);
+        plan.callers = { { "rail", 64 } };
+        plan.nonIdempotentShare = 0.5;
+        plan.seed = bench.seed;
+        plan.progress = [&](int answers) {
+            if (answers == plan.requests / 4)
+                bed.host(hosts - 1).signal(SIGTERM);
+        };
+        rows.push_back(measure(bench, bed, plan));
+        if (!bed.host(hosts - 1).hasEnded())
+            std::cerr << "planned_stop: the host has not ended\n";
+    }
+
+} // namespace
+
+std::vector<scenario_row> runScenarios(std::uint64_t seed, double scale)
+{
+    bench_context bench;
+    bench.seed = seed;
+    bench.scale = scale;
+    std::vector<scenario_row> rows;
+    {
+        test_bed bed(bench.io, bench.client, hosts);
+        bed.addExecutors(executors);
+        bed.waitUntilReady();
+        runLatency(bench, bed, rows);
+        runSaturation(bench, bed, rows);
+        runIdleConnections(bench, bed, rows);
+    }
+    runFaults(bench, rows);
+    runFastFailure(bench, rows);
+    runPlannedStop(bench, rows);
+    return rows;
+}
+
+} // namespace chervilport
--- a/standins/executor/main.cpp
+++ b/standins/executor/main.cpp
@@ -14,10 +14,13 @@
 
 namespace {
 
+/// Time between the announcement that the executors leave and the end of the program.
+constexpr std::chrono::seconds leaveTime { 5 };
+
 constexpr const char* usage = R"(Usage: standin-executor [options]
 
-Plays executors of the platform on free ports of the loopback address. The first SIGTERM announces that they leave, the
-second ends the program.
+Plays executors of the platform on free ports of the loopback address. The first SIGTERM announces that they leave; the
+program ends 5 s later or at the second.
 
   -i, --instance IP:PORT   an instance to announce to; may be given several times
   -n, --count N            executors to play (1)
@@ -140,16 +143,15 @@
     std::filesystem::rename(temporary, file);
 }
 
-void waitForSignal(asio::io_context& context, asio::signal_set& signals, const executors& all, bool isFirst)
+// Leaves at the first signal, and ends some seconds later or at the second.
+void waitForSignal(asio::io_context& context, asio::signal_set& signals, asio::steady_timer& end, const executors& all)
 {
-    signals.async_wait([&context, &signals, &all, isFirst](const std::error_code&, int) {
-        if (!isFirst) {
-            context.stop();
-            return;
-        }
+    signals.async_wait([&](const std::error_code&, int) {
         for (const auto& executor : all)
             executor->leave();
-        waitForSignal(context, signals, all, false);
+        end.expires_after(leaveTime);
+        end.async_wait([&](const std::error_code&) { context.stop(); });
+        signals.async_wait([&](const std::error_code&, int) { context.stop(); });
     });
 }
 
@@ -169,7 +171,8 @@
     if (!given.addressFile.empty())
         writeAddresses(given.addressFile, all);
     asio::signal_set signals(context, SIGTERM, SIGINT);
-    waitForSignal(context, signals, all, true);
+    asio::steady_timer end(context);
+    waitForSignal(context, signals, end, all);
     context.run();
 }
 
--- a/tests/requests/claim_state_test.cpp
+++ b/tests/requests/claim_state_test.cpp
@@ -43,6 +43,8 @@
     const auto reply = applyClaimStep(state, makeStep(claim_step_kind::Claim, "b"), log_time(4s));
     cr_assert(reply.verdict == claim_verdict::Completed);
     cr_assert(reply.response->status == 201 && reply.response->body == "booked");
+    const auto forwarded = decodeClaimReply(encodeClaimReply(reply));
+    cr_assert(forwarded.verdict == reply.verdict && forwarded.response->body == "booked");
     auto other = makeStep(claim_step_kind::Claim, "b");
     other.bodyHash = "other";
     cr_assert(verdictAt(state, other, log_time(4s)) == claim_verdict::KeyReused);
