Answer before the end of a claim is committed; bound claims by age

Change: the answer is sent at once; the end is written behind it, in up to four tries, and a planned stop waits for it. Only a "not run" waits, because its caller may send again at once and must find the key free.

--- a/chervilport/requests/claim_state.cpp
+++ b/chervilport/requests/claim_state.cpp
@@ -85,12 +85,17 @@
         }
     }
 
-    void dropResponses(claim_state& state)
+    void makeRoom(claim_state& state, log_time now)
     {
         while (state.bytes > state.settings.maxBytes && !state.stored.empty()) {
             const auto key = state.stored.begin()->second;
             changeRecord(state, key, [](claim_record& record) { record.response.reset(); });
         }
+        while (state.bytes > state.settings.maxBytes && !state.ended.empty()
+            && state.ended.begin()->first + state.settings.assuredRetention <= now) {
+            const auto key = state.ended.begin()->second;
+            removeRecord(state, key);
+        }
     }
 
     claim_reply answerKnown(const claim_record& record, const claim_step& step)
@@ -120,7 +125,7 @@
         record.bodyHash = step.bodyHash;
         record.at = now + step.runsFor;
         addRecord(state, step.key, std::move(record));
-        dropResponses(state);
+        makeRoom(state, now);
         if (state.bytes <= state.settings.maxBytes)
             return {};
         removeRecord(state, step.key);
@@ -148,7 +153,7 @@
             if (step.response && bytesOf(*step.response) <= state.settings.maxResponseBytes)
                 record.response = step.response;
         });
-        dropResponses(state);
+        makeRoom(state, now);
         return {};
     }
 
--- a/chervilport/requests/claim_state.h
+++ b/chervilport/requests/claim_state.h
@@ -14,10 +14,13 @@
 
 /// Bounds of the claims of a domain.
 struct claim_settings {
-    /// Time for which an ended claim is remembered: a resend within it never runs again.
+    /// Time for which an ended claim is remembered while there is room.
     log_duration retention = std::chrono::hours(24);
-    /// Bytes of all claims. Beyond it the oldest stored responses are dropped; their claims are kept, so that their
-    /// requests still do not run again. If the claims alone exceed it, new ones are refused.
+    /// Time for which an ended claim is remembered in any case: a resend within it never runs again.
+    log_duration assuredRetention = std::chrono::minutes(10);
+    /// Bytes of all claims; about 42,000 claims without responses. Beyond it the oldest stored responses are dropped
+    /// first; their claims are kept, so that their requests still do not run again. Then the oldest ended claims beyond
+    /// the assured time are dropped. If that does not suffice, new claims are refused.
     std::size_t maxBytes = 24U << 20U;
     /// Largest response that is stored.
     std::size_t maxResponseBytes = 256U << 10U;
--- a/chervilport/requests/request_pipeline.cpp
+++ b/chervilport/requests/request_pipeline.cpp
@@ -14,9 +14,10 @@
 
 namespace {
 
-    /// Longest wait for the end of a claim to be committed. The answer is true without it; the wait lets a resend find
-    /// the stored response.
+    /// Longest wait for one try to write the end of a claim, and number of tries: together longer than a change of the
+    /// leader takes. Without an end the claim becomes uncertain.
     constexpr log_duration claimEndPatience = std::chrono::seconds(2);
+    constexpr int claimEndTries = 4;
 
     /// Marks an answer that was stored for an earlier copy of the request.
     constexpr std::string_view replayedHeader = "Chervilport-Replayed";
@@ -332,14 +333,36 @@
     constexpr std::size_t largestStored = claim_settings().maxResponseBytes;
     if (kind == claim_step_kind::Complete && response.body.size() <= largestStored)
         step.response = response;
-    context.pendingAnswer = std::move(response);
-    m_ports.claims.submit(
-        std::move(step), claimEndPatience, [weak = weak_from_this(), id = context.id](const claim_store_reply&) {
+    // A caller that is told "not run" may send again at once and must find the key free. Any other answer is as true
+    // before the end of the claim is committed as after it.
+    if (kind == claim_step_kind::Release) {
+        context.pendingAnswer = std::move(response);
+        endClaim(step, claimEndTries, [weak = weak_from_this(), id = context.id] {
             const auto self = weak.lock();
             auto* const ended = self ? self->find(id) : nullptr;
             if (ended)
                 self->answer(id, std::move(*ended->pendingAnswer));
         });
+        return;
+    }
+    answer(context.id, std::move(response));
+    endClaim(step, claimEndTries, {});
+}
+
+void request_pipeline::endClaim(const claim_step& step, int tries, const std::function<void()>& tried)
+{
+    ++m_endingClaims;
+    m_ports.claims.submit(
+        step, claimEndPatience, [weak = weak_from_this(), step, tries, tried](const claim_store_reply& reply) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            --self->m_endingClaims;
+            if (tried)
+                tried();
+            if (!reply.reply && tries > 1)
+                self->endClaim(step, tries - 1, {});
+        });
 }
 
 void request_pipeline::answer(std::uint64_t id, http_response response)
--- a/chervilport/requests/request_pipeline.h
+++ b/chervilport/requests/request_pipeline.h
@@ -34,8 +34,9 @@
     /// Replaces access rules and known workspaces after a change of the configuration.
     void setAccess(access_policy, std::set<std::string, std::less<>> workspaces);
 
-    /// Returns the number of requests without an answer.
-    std::size_t inFlight() const { return m_requests.size(); }
+    /// Returns the number of requests without an answer and of claims whose end is not yet written; a planned stop
+    /// waits until it is 0.
+    std::size_t inFlight() const { return m_requests.size() + m_endingClaims; }
 
     /// Returns the requests running and waiting, by service, for the report to the leader.
     std::map<std::string, std::int32_t> demand() const;
@@ -63,6 +64,7 @@
     bool retry(request_context&);
     void fail(request_context&, error_kind, std::string_view message, log_duration retryAfter = {});
     void finish(request_context&, http_response, claim_step_kind);
+    void endClaim(const claim_step&, int tries, const std::function<void()>& tried);
     void answer(std::uint64_t id, http_response);
     claim_step makeStep(const request_context&, claim_step_kind) const;
     service_state& serviceOf(const request_context&);
@@ -75,6 +77,7 @@
     std::map<std::string, service_state> m_services;
     std::uint64_t m_lastId = 0;
     std::size_t m_heldBytes = 0;
+    std::size_t m_endingClaims = 0;
     bool m_isDraining = false;
 };
 
--- a/tests/requests/claim_state_test.cpp
+++ b/tests/requests/claim_state_test.cpp
@@ -92,6 +92,12 @@
         step.key.key = std::to_string(i);
         cr_assert(verdictAt(state, step, log_time(30s)) == claim_verdict::Completed);
     }
+    // Beyond the assured time, the oldest claim makes room for a new one.
+    auto next = makeStep(claim_step_kind::Claim, "a", 100);
+    next.key.key = "100";
+    cr_assert(verdictAt(state, next, log_time(9min)) == claim_verdict::Full);
+    cr_assert(verdictAt(state, next, log_time(11min)) == claim_verdict::Granted);
+    cr_assert_leq(state.bytes, 8000);
 }
 
 // Guards against two grants of one key, whatever the order of the steps, also on a replica restored from a snapshot.
--- a/tests/requests/fake_domain.h
+++ b/tests/requests/fake_domain.h
@@ -43,6 +43,9 @@
         };
         ports.claims.submit = [this](const claim_step& step, log_duration, const auto& done) {
             claim_store_reply reply;
+            if (claimFaults == 0)
+                claimFault.clear();
+            --claimFaults;
             const bool isCommitted = claimFault != "not committed";
             const auto applied = isCommitted ? applyClaimStep(claims, step, now) : claim_reply {};
             if (isCommitted && claimFault != "reply lost")
@@ -115,6 +118,7 @@
     routing_state routing;
     claim_state claims;
     std::string claimFault;
+    int claimFaults = -1;
     std::vector<pending_attempt> pending;
     std::vector<call> calls;
     std::map<std::string, int> runs;
--- a/tests/requests/request_pipeline_test.cpp
+++ b/tests/requests/request_pipeline_test.cpp
@@ -70,10 +70,14 @@
     domain.claimFault.clear();
     domain.send(false, "k", "10000", "b");
     cr_assert_eq(domain.pending.size(), 1);
-    // A lost commit of the end does not keep the true answer from the caller.
+    // A failed commit of the end does not keep the true answer from the caller, and is tried again.
     domain.claimFault = "not committed";
+    domain.claimFaults = 2;
     domain.answer(0);
     cr_assert(domain.answerOf(2) == "result of b");
+    cr_assert(domain.answerOf(domain.send(false, "k", "10000", "b")) == "result of b");
+    cr_assert_eq(domain.runs["b"], 1);
+    cr_assert_eq(domain.pipeline->inFlight(), 0);
 }
 
 // Guards against more requests at an executor than this instance's share, and against a slot that is never given back.
