--- a/chervilport/settings/settings.h
+++ b/chervilport/settings/settings.h
@@ -26,9 +26,11 @@
     /// File that gets the address of the HTTP listener once it accepts calls; empty for none.
     std::string addressFile;
 
-    /// Whether this instance begins the replication groups of a new cluster. Set by the command line for the very first
+    /// Whether this instance begins the replication group of its domain. Set by the command line for the very first
     /// start of one instance of a domain, never by a file, so that a lost disk cannot begin a second group by itself.
-    bool initialize = false;
+    bool initializeDomain = false;
+    /// Whether this instance begins the replication group of the fleet; likewise, for one instance of the cluster.
+    bool initializeFleet = false;
 
     /// Name of the cluster; instances of another cluster are refused.
     std::string clusterId = "local";
@@ -69,6 +71,9 @@
     std::chrono::milliseconds fleetHeartbeat { 1'000 };
     /// Shortest election timeout of the fleet's replication group.
     std::chrono::milliseconds fleetElection { 4'000 };
+    /// Time after the beginning of a planned stop in which new requests are still served, so that the balancer can
+    /// notice.
+    std::chrono::milliseconds stopGrace { 2'000 };
     /// Longest time that a planned stop waits for requests in flight.
     std::chrono::milliseconds stopTimeout { 60'000 };
 
