--- a/benchmarks/policy/policy_driver.cpp
+++ b/benchmarks/policy/policy_driver.cpp
@@ -50,7 +50,7 @@
 
 void policy_driver::fail(const std::string& what) const
 {
-    throw rule_violation("at " + std::to_string(m_now.time_since_epoch().count()) + " us: " + what);
+    throw rule_violation("at " + std::to_string(m_now.time_since_epoch().count() / 1'000'000) + " s: " + what);
 }
 
 void policy_driver::plan(action next)
@@ -95,7 +95,11 @@
         if (next.at > m_now)
             m_timersAtOnce = 0;
         m_now = next.at;
-        perform(next);
+        try {
+            perform(next);
+        } catch (const rule_violation& violation) {
+            fail(violation.what());
+        }
     }
     m_record.endedAt = m_now;
     return m_record;
@@ -169,7 +173,7 @@
 {
     const auto found = m_jobByKey.find(job);
     if (found == m_jobByKey.end())
-        fail("command for unknown job " + std::to_string(static_cast<std::uint64_t>(job)));
+        throw rule_violation("command for unknown job " + std::to_string(static_cast<std::uint64_t>(job)));
     return found->second;
 }
 
@@ -178,7 +182,7 @@
     // The client key of a job is "key" and its position in the stream.
     const auto index = static_cast<std::size_t>(std::stoul(answer.clientKey.substr(3)));
     if (answer.duplicate || m_ids.at(index))
-        fail("submission " + answer.clientKey + " was taken for a duplicate");
+        throw rule_violation("submission " + answer.clientKey + " was taken for a duplicate");
     m_ids[index] = answer.job;
     m_jobByKey.emplace(answer.job, index);
 }
@@ -196,10 +200,10 @@
     const auto index = jobIndex(change.job);
     auto& job = m_record.jobs[index];
     if (isFinal(job.state))
-        fail("job " + std::to_string(index) + " left its final state");
+        throw rule_violation("job " + std::to_string(index) + " left its final state");
     job.state = change.state;
     if (change.state == job_state::Succeeded && !job.completedAt)
-        fail("job " + std::to_string(index) + " was reported as succeeded before its end");
+        throw rule_violation("job " + std::to_string(index) + " was reported as succeeded before its end");
     if (isFinal(change.state))
         closeJob(index);
 }
@@ -215,7 +219,7 @@
     if (next.plan != m_timerPlan)
         return;
     if (++m_timersAtOnce > maxTimersAtOnce)
-        fail("the scheduler wakes itself without end");
+        throw rule_violation("the scheduler wakes itself without end");
     apply(timer_fired {});
 }
 
@@ -237,7 +241,7 @@
     m_record.jobs[job].isCovered = open <= m_guaranteed[spec.workspace];
     apply(job_submitted { spec });
     if (!m_ids[job] && !m_record.jobs[job].isRefused)
-        fail("submission " + spec.clientKey + " was not answered");
+        throw rule_violation("submission " + spec.clientKey + " was not answered");
 }
 
 void policy_driver::cancel(std::size_t job)
--- a/benchmarks/policy/policy_driver.h
+++ b/benchmarks/policy/policy_driver.h
@@ -109,6 +109,7 @@
     void closeAttempt(live_attempt&);
     void closeJob(std::size_t job);
     std::size_t jobIndex(job_id) const;
+    // Adds the virtual time to a violation.
     [[noreturn]] void fail(const std::string& what) const;
 
     const event_stream& m_stream;
--- a/benchmarks/policy/policy_driver_workers.cpp
+++ b/benchmarks/policy/policy_driver_workers.cpp
@@ -55,7 +55,7 @@
     const auto job = jobIndex(start.task.job);
     const auto& wanted = m_stream.jobs[job];
     if (start.limits != wanted.spec.perTask)
-        fail("job " + std::to_string(job) + " was started with limits other than its demand");
+        throw rule_violation("job " + std::to_string(job) + " was started with limits other than its demand");
     const auto worker = m_workers.workerIndex(start.worker);
     const auto base = start.fromCheckpoint ? m_saved[job] : log_duration { 0 };
     auto* task = m_workers.addTask(job, start.task, worker, base);
--- a/benchmarks/policy/worker_model.cpp
+++ b/benchmarks/policy/worker_model.cpp
@@ -6,6 +6,14 @@
 
 using phase = live_task::phase;
 
+namespace {
+
+    /// Attempts of one job after which the scheduler is taken to start and stop it without end. The faults of a stream
+    /// alone explain fewer than ten.
+    constexpr std::int32_t maxAttemptsPerJob = 100;
+
+} // namespace
+
 worker_model::worker_model(const event_stream& stream)
     : m_stream(stream)
     , m_workers(stream.workers.size())
@@ -46,6 +54,8 @@
     if (found == m_attempts.end()) {
         if (task.attempt <= m_lastAttempt[job])
             fail(job, task.attempt, "the attempt number was used before");
+        if (task.attempt > maxAttemptsPerJob)
+            fail(job, task.attempt, "started and stopped without end");
         m_lastAttempt[job] = task.attempt;
         live_attempt attempt { .job = job, .attempt = task.attempt, .base = base };
         attempt.tasks.resize(static_cast<std::size_t>(spec.taskCount));
