--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -22,6 +22,9 @@
 /// Threads used when none are given; more disturb other work on the machine.
 constexpr std::size_t defaultThreads = 4;
 
+/// Workers beyond which only the first seed is run.
+constexpr std::int32_t largeSite = 100;
+
 struct arguments {
     std::vector<std::uint64_t> seeds { 1, 2, 3 };
     std::vector<std::int32_t> loads { 700, 900, 1100 };
@@ -83,6 +86,9 @@
             continue;
         for (const auto load : chosen.loads) {
             for (const auto seed : chosen.seeds) {
+                // A run of a large site takes minutes; several seeds of it would exceed the time of a full run.
+                if (site.workers > largeSite && seed != chosen.seeds.front())
+                    continue;
                 stream_runs runs { .stream = generateStream(site, load, seed) };
                 runs.records.resize(chosen.schedulers.size());
                 runs.errors.resize(chosen.schedulers.size());
--- a/benchmarks/policy/policy_driver.cpp
+++ b/benchmarks/policy/policy_driver.cpp
@@ -38,6 +38,7 @@
     , m_workers(stream)
     , m_ids(stream.jobs.size())
     , m_saved(stream.jobs.size(), log_duration { 0 })
+    , m_lastLoss(stream.jobs.size(), 0)
     , m_largestShape(largestGuaranteedShape(stream.site))
 {
     m_record.jobs.resize(stream.jobs.size());
@@ -204,6 +205,10 @@
     job.state = change.state;
     if (change.state == job_state::Succeeded && !job.completedAt)
         throw rule_violation("job " + std::to_string(index) + " was reported as succeeded before its end");
+    if (change.state == job_state::Expired) {
+        m_record.work.lostByPreemption -= m_lastLoss[index];
+        m_record.work.lostByExpiry += m_lastLoss[index];
+    }
     if (isFinal(change.state))
         closeJob(index);
 }
--- a/benchmarks/policy/policy_driver.h
+++ b/benchmarks/policy/policy_driver.h
@@ -125,6 +125,8 @@
     std::vector<std::optional<job_id>> m_ids;
     // Work saved by the last whole checkpoint of each job.
     std::vector<log_duration> m_saved;
+    // Work lost by the last attempt of each job that the scheduler stopped.
+    std::vector<std::int64_t> m_lastLoss;
     std::map<std::string, std::int64_t> m_openAccelerators;
     std::map<std::string, std::int64_t> m_guaranteed;
     std::size_t m_openJobs = 0;
--- a/benchmarks/policy/policy_driver_workers.cpp
+++ b/benchmarks/policy/policy_driver_workers.cpp
@@ -71,6 +71,7 @@
         // A restart from the beginning loses what a checkpoint had saved.
         m_record.work.lostByPreemption += workOf(wanted, m_saved[job] - base);
         m_saved[job] = base;
+        m_lastLoss[job] = 0;
     }
     // A dead worker does not answer.
     const auto& target = m_workers.worker(worker);
@@ -258,7 +259,8 @@
         else if (isSaved)
             m_saved[attempt.job] = attempt.base + progress;
         else
-            m_record.work.lostByPreemption += workOf(job, progress);
+            m_lastLoss[attempt.job] = workOf(job, progress);
+        m_record.work.lostByPreemption += m_lastLoss[attempt.job];
         if (!isCancelled && !attempt.isBroken)
             ++m_record.preemptions;
     }
--- a/benchmarks/policy/run_record.h
+++ b/benchmarks/policy/run_record.h
@@ -56,6 +56,8 @@
     std::int64_t useful = 0;
     /// Work lost because the scheduler stopped an attempt.
     std::int64_t lostByPreemption = 0;
+    /// Work lost because the scheduler ended a running job as expired.
+    std::int64_t lostByExpiry = 0;
     /// Work lost because of a fault.
     std::int64_t lostByFault = 0;
     /// Work of cancelled jobs.
