Give checkpoints time and reclaim only what is worth the lost work

Cause: checkpoints of 2 to 4 s were killed by the 2 s stop timeout, and covered jobs stopped long-running borrowers at once; a quarter of the capacity was lost.

--- a/chervilport/scheduling/attempts.cpp
+++ b/chervilport/scheduling/attempts.cpp
@@ -111,7 +111,7 @@
 }
 
 void stopAttempt(schedule_state& state, job_record& job, stop_mode mode, job_state afterStop, const std::string& reason,
-    std::vector<command>& out)
+    std::vector<command>& out, log_duration patience)
 {
     const auto stopping = job.state == job_state::Stopping;
     if (stopping && job.afterStop != job_state::Queued)
@@ -127,7 +127,7 @@
     }
     job.killed = mode == stop_mode::Kill;
     if (!job.killed)
-        job.killAt = state.now + state.configuration.policy.stopTimeout;
+        job.killAt = state.now + patience;
     changeState(job, job_state::Stopping, reason, out);
     for (std::size_t rank = 0; rank < job.tasks.size(); ++rank) {
         auto& task = job.tasks[rank];
@@ -140,9 +140,11 @@
 
 void killAttempt(schedule_state& state, job_record& job, std::vector<command>& out)
 {
-    job.killAt.reset();
     if (job.killed)
         return;
+    if (job.killAt && *job.killAt <= state.now)
+        ++job.lostCheckpoints;
+    job.killAt.reset();
     job.killed = true;
     for (std::size_t rank = 0; rank < job.tasks.size(); ++rank)
         if (job.tasks[rank].phase == task_phase::Stopping)
--- a/chervilport/scheduling/attempts.h
+++ b/chervilport/scheduling/attempts.h
@@ -16,10 +16,11 @@
 /// Starts the next attempt of a queued job on the given workers and takes their capacity.
 void startAttempt(schedule_state&, job_record&, std::span<const std::int32_t> workers, std::vector<command>&);
 
-/// Stops the present attempt; the job enters `afterStop` once every task is gone. A later call with a final state
-/// replaces an earlier one that would have queued the job again, and a kill replaces a checkpoint.
-void stopAttempt(
-    schedule_state&, job_record&, stop_mode, job_state afterStop, const std::string& reason, std::vector<command>&);
+/// Stops the present attempt; a checkpoint gets `patience` before it turns into a kill. The job enters `afterStop` once
+/// every task is gone. A later call with a final state replaces an earlier one that would have queued the job again,
+/// and a kill replaces a checkpoint.
+void stopAttempt(schedule_state&, job_record&, stop_mode, job_state afterStop, const std::string& reason,
+    std::vector<command>&, log_duration patience = log_duration(0));
 
 /// Turns the stop by checkpoint of an attempt into a kill.
 void killAttempt(schedule_state&, job_record&, std::vector<command>&);
--- a/chervilport/scheduling/capacity_view.cpp
+++ b/chervilport/scheduling/capacity_view.cpp
@@ -109,8 +109,8 @@
     std::vector<order_key> order;
     for (const auto& [id, job] : state.jobs)
         if (!job.tasks.empty())
-            order.emplace_back(workspaceIndex(state, job.spec.workspace), job.spec.preemptible, job.spec.jobClass,
-                job.placedAt, id);
+            order.emplace_back(
+                workspaceIndex(state, job.spec.workspace), job.spec.preemptible, job.spec.jobClass, job.placedAt, id);
     std::sort(order.begin(), order.end());
     std::vector<std::int32_t> left;
     for (const auto& workspace : state.configuration.workspaces)
--- a/chervilport/scheduling/field_lists.h
+++ b/chervilport/scheduling/field_lists.h
@@ -188,6 +188,7 @@
     visitFields(archive, value.fragmentationWeight);
     visitFields(archive, value.startTimeout);
     visitFields(archive, value.stopTimeout);
+    visitFields(archive, value.checkpointTimeout);
     visitFields(archive, value.maxAttempts);
 }
 
--- a/chervilport/scheduling/job_record.h
+++ b/chervilport/scheduling/job_record.h
@@ -74,6 +74,8 @@
     log_duration savedRunTime { 0 };
     /// Whether a checkpoint exists.
     bool hasCheckpoint = false;
+    /// Checkpoints that were not written in time.
+    std::int32_t lostCheckpoints = 0;
     /// Failed attempts that are the job's own fault as far as is known.
     std::int32_t failures = 0;
     /// Workers, by name, on which it failed; it avoids them.
--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -22,13 +22,32 @@
     /// Overhead of stopping and starting a job again.
     constexpr log_duration restartOverhead = std::chrono::seconds(10);
 
-    /// Factor on the cost of stopping a job within the guarantee of its workspace.
-    constexpr std::int64_t guaranteedFactor = 1000;
+    /// Extra cost, in accelerator seconds, of stopping a job within the guarantee of its workspace.
+    constexpr std::int64_t guaranteedSurcharge = 36'000;
 
     /// Time that an attempt within a guarantee runs at least, and how often such a job may be moved.
     constexpr log_duration guaranteedResidence = std::chrono::minutes(10);
     constexpr std::int32_t guaranteedMoves = 3;
 
+    std::int64_t seconds(log_duration duration) { return duration.count() / 1'000'000; }
+
+    /// Lost work counts this many times against the wait of a job that is not urgent, because all others pay for it.
+    constexpr std::int64_t lossFactor = 4;
+
+    /// Urgent jobs, and ones that are about to miss their deadline, take their guarantee at once; others as soon as
+    /// they have waited for longer than it costs.
+    bool isWorthwhile(const schedule_state& state, const job_record& job, std::int64_t cost)
+    {
+        if (job.spec.jobClass == job_class::Urgent)
+            return true;
+        const auto remaining = remainingRunTime(state, job);
+        if (job.spec.deadline && state.now + remaining * 3 / 2 > *job.spec.deadline)
+            return true;
+        constexpr log_duration grace = std::chrono::minutes(2);
+        const auto waited = seconds(state.now - job.queuedAt + grace);
+        return cost * lossFactor <= waited * std::max(1, gangAccelerators(job.spec));
+    }
+
     /// Costs of all jobs that can make room; jobs that already stop cost nothing.
     cost_table victimCosts(const schedule_state& state, const job_record& job, const victim_cost& costOf)
     {
@@ -96,8 +115,6 @@
         }
     }
 
-    std::int64_t seconds(log_duration duration) { return duration.count() / 1'000'000; }
-
 } // namespace
 
 std::optional<reclaim_plan> planReclaim(const schedule_state& state, const job_record& job, const victim_cost& costOf)
@@ -158,23 +175,23 @@
 void executeReclaim(schedule_state& state, const job_record& job, const reclaim_plan& plan, const char* reason,
     std::vector<command>& out)
 {
-    const auto due = state.now + state.configuration.policy.stopTimeout;
+    const auto& policy = state.configuration.policy;
+    const auto patience = job.spec.jobClass == job_class::Urgent ? policy.stopTimeout : policy.checkpointTimeout;
+    const auto due = state.now + patience;
     state.reservations[job.id] = { plan.workers, state.now, due, true };
     for (const auto id : plan.victims) {
         auto& victim = state.jobs.at(id);
         ++victim.preemptions;
         const auto mode = victim.spec.checkpointable && victim.state == job_state::Running ? stop_mode::Checkpoint
                                                                                            : stop_mode::Kill;
-        stopAttempt(state, victim, mode, job_state::Queued, reason, out);
+        stopAttempt(state, victim, mode, job_state::Queued, reason, out, patience);
     }
 }
 
 log_duration expectedLoss(const schedule_state& state, const job_record& job)
 {
     const auto ran = job.startedAt ? state.now - *job.startedAt : log_duration(0);
-    // A checkpoint may not be written within the stop timeout, which a kill then ends.
-    constexpr std::int32_t lostCheckpoints = 5;
-    return restartOverhead + (job.spec.checkpointable ? ran / lostCheckpoints : ran);
+    return restartOverhead + (job.spec.checkpointable && job.lostCheckpoints == 0 ? log_duration(0) : ran);
 }
 
 bool reclaimForGuarantee(schedule_state& state, const job_record& job, std::vector<command>& out)
@@ -192,10 +209,10 @@
         // again: two workspaces would otherwise displace each other without end.
         if (state.now - other.placedAt < guaranteedResidence || other.preemptions >= guaranteedMoves)
             return std::nullopt;
-        return cost * guaranteedFactor;
+        return cost + guaranteedSurcharge;
     };
     const auto plan = planReclaim(state, job, costOf);
-    if (!plan)
+    if (!plan || !isWorthwhile(state, job, plan->cost))
         return false;
     executeReclaim(state, job, *plan, "stopped in favour of the guarantee of another job", out);
     return true;
--- a/chervilport/scheduling/state_codec.cpp
+++ b/chervilport/scheduling/state_codec.cpp
@@ -76,6 +76,7 @@
     visitFields(archive, value.killed);
     visitFields(archive, value.savedRunTime);
     visitFields(archive, value.hasCheckpoint);
+    visitFields(archive, value.lostCheckpoints);
     visitFields(archive, value.failures);
     visitFields(archive, value.failedOn);
     visitFields(archive, value.preemptions);
