Track backfilled jobs by name and let pressed jobs pass reservations

Cause: a job that started at the time of a reservation was taken for backfilled and killed, and a job close to its deadline waited behind the reservation of a relaxed one; the new policy tests found both. Change: a reservation lists its backfilled jobs; mayPass gives higher classes and pressed deadlines the places of small, relaxed reservations. Conclusion: tests of guarantees and policy pass.

--- a/chervilport/scheduling/attempts.cpp
+++ b/chervilport/scheduling/attempts.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/scheduling/attempts.h"
 
 #include "chervilport/scheduling/estimates.h"
+#include "chervilport/scheduling/reservations.h"
 #include "chervilport/scheduling/resource_math.h"
 #include "chervilport/scheduling/schedule_state.h"
 
@@ -99,6 +100,7 @@
     job.killed = false;
     job.killAt.reset();
     state.reservations.erase(job.id);
+    noteStart(state, job, workers);
     changeState(job, job_state::Starting, "", out);
     for (std::size_t rank = 0; rank < workers.size(); ++rank) {
         auto& worker = state.workers[workers[rank]];
--- a/chervilport/scheduling/capacity_view.cpp
+++ b/chervilport/scheduling/capacity_view.cpp
@@ -12,11 +12,31 @@
 
 namespace {
 
-    /// Share of comparable jobs, in thousandths, that must end before a reservation is due for a job to be backfilled.
-    constexpr std::int32_t backfillQuantile = 800;
+    /// Shares of comparable jobs, in thousandths, that must end before a reservation is due for a job to be backfilled.
+    /// A job with checkpoints loses little if it is still running then.
+    constexpr std::int32_t backfillQuantile = 920;
+    constexpr std::int32_t checkpointableBackfillQuantile = 300;
 
 } // namespace
 
+log_duration backfillRunTime(const schedule_state& state, const job_record& job)
+{
+    const auto quantile = job.spec.checkpointable ? checkpointableBackfillQuantile : backfillQuantile;
+    return remainingQuantile(state, job.spec, job.savedRunTime, quantile);
+}
+
+bool mayPass(const schedule_state& state, const job_record& job, const job_record& owner)
+{
+    constexpr std::int32_t largeGang = 32;
+    const auto isPressed = [&](const job_record& candidate) {
+        return candidate.spec.deadline
+            && state.now + remainingRunTime(state, candidate) * 3 / 2 > *candidate.spec.deadline;
+    };
+    if (job.spec.jobClass != owner.spec.jobClass)
+        return job.spec.jobClass < owner.spec.jobClass;
+    return owner.spec.taskCount < largeGang && isPressed(job) && !isPressed(owner);
+}
+
 bool avoids(const schedule_state& state, const job_record& job, const worker_record& worker)
 {
     // A job that failed on most of a small fleet may use all of it again.
@@ -30,13 +50,16 @@
     std::vector<resources> kept(state.workers.size());
     if (state.reservations.empty())
         return kept;
-    const auto endsBy = state.now + remainingQuantile(state, job.spec, job.savedRunTime, backfillQuantile);
+    const auto endsBy = state.now + backfillRunTime(state, job);
     for (const auto& [id, reserved] : state.reservations) {
         if (id == job.id)
             continue;
         if (job.spec.preemptible && !reserved.reclaiming && endsBy <= reserved.expectedAt)
             continue;
-        const auto& demand = state.jobs.at(id).spec.perTask;
+        const auto& owner = state.jobs.at(id);
+        if (!reserved.reclaiming && mayPass(state, job, owner))
+            continue;
+        const auto& demand = owner.spec.perTask;
         for (const auto worker : reserved.workers)
             kept[worker] = kept[worker] + demand;
     }
--- a/chervilport/scheduling/capacity_view.h
+++ b/chervilport/scheduling/capacity_view.h
@@ -19,6 +19,13 @@
 /// negative. Workers that the job avoids offer nothing.
 std::vector<resources> freeFor(const schedule_state&, const job_record&);
 
+/// Returns the run time that a job is taken to need when it is considered for places reserved for a later time.
+log_duration backfillRunTime(const schedule_state&, const job_record&);
+
+/// Returns whether a job may take places that are reserved for another one, which then loses its reservation: a job of
+/// a higher class, or one whose deadline is close while the other is neither large nor pressed.
+bool mayPass(const schedule_state&, const job_record&, const job_record& owner);
+
 /// Returns, by worker, what reservations keep from a job. A preemptible job that is expected to end before a
 /// reservation is due may use its places.
 std::vector<resources> reservedAgainst(const schedule_state&, const job_record&);
--- a/chervilport/scheduling/ordering.cpp
+++ b/chervilport/scheduling/ordering.cpp
@@ -14,13 +14,19 @@
     /// A waiting job gains this many seconds of rank for each second in the queue.
     constexpr std::int32_t agingFactor = 2;
 
+    /// Gangs of this many tasks are large; their run time counts for a part only.
+    constexpr std::int32_t largeGang = 32;
+    constexpr std::int32_t largeGangDivisor = 4;
+
     /// Shortest job first shortens the mean completion time; aging bounds the wait of long ones, and a deadline moves a
     /// job up as its slack shrinks.
     std::int64_t rankOf(const schedule_state& state, const job_record& job)
     {
         const auto remaining = remainingRunTime(state, job);
         const auto waited = state.now - job.submittedAt;
-        auto rank = remaining - waited * agingFactor;
+        // Large gangs find room only seldom, so they count as short ones.
+        const auto weighted = job.spec.taskCount >= largeGang ? remaining / largeGangDivisor : remaining;
+        auto rank = weighted - waited * agingFactor;
         if (job.spec.deadline)
             if (const auto slack = *job.spec.deadline - state.now - remaining; slack > log_duration(0))
                 rank = std::min(rank, slack);
--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -31,6 +31,9 @@
 
     std::int64_t seconds(log_duration duration) { return duration.count() / 1'000'000; }
 
+    /// Gangs of this many tasks find room only seldom and are not moved.
+    constexpr std::int32_t largeGang = 32;
+
     /// Lost work counts this many times against the wait of a job that is not urgent, because all others pay for it.
     constexpr std::int64_t lossFactor = 4;
 
@@ -223,7 +226,8 @@
     const auto size = std::max(1, gangAccelerators(job.spec));
     const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
         if (!other.spec.preemptible || !other.spec.checkpointable || other.state != job_state::Running
-            || other.spec.jobClass < job.spec.jobClass)
+            || other.spec.jobClass < job.spec.jobClass || other.spec.taskCount >= largeGang
+            || other.lostCheckpoints > 0)
             return std::nullopt;
         // A smaller job finds a place again sooner.
         const auto delay = expectedLoss(state, other) + wait * std::max(1, gangAccelerators(other.spec)) / size;
@@ -243,10 +247,7 @@
     auto& reserved = state.reservations.at(job.id);
     if (reserved.reclaiming)
         return false;
-    std::set<job_id> backfilled;
-    for (const auto& [id, other] : state.jobs)
-        if (!other.tasks.empty() && other.spec.preemptible && other.placedAt >= reserved.madeAt)
-            backfilled.insert(id);
+    std::set<job_id> backfilled(reserved.backfilled.begin(), reserved.backfilled.end());
     const auto demands = demandByWorker(job, reserved.workers);
     std::set<job_id> victims;
     for (const auto& [index, demand] : demands) {
@@ -260,8 +261,8 @@
             if (backfilled.contains(id))
                 victims.insert(id);
     }
-    reserved.reclaiming = true;
-    executeReclaim(state, job, { reserved.workers, std::vector<job_id>(victims.begin(), victims.end()), 0 },
+    executeReclaim(state, job,
+        { std::vector(reserved.workers), std::vector<job_id>(victims.begin(), victims.end()), 0 },
         "was backfilled on places reserved for another job", out);
     return true;
 }
--- a/chervilport/scheduling/reservation.h
+++ b/chervilport/scheduling/reservation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/core/log_time.h"
+#include "chervilport/scheduling/job_id.h"
 
 #include <cstdint>
 #include <vector>
@@ -17,6 +18,8 @@
     log_time expectedAt;
     /// Whether the present holders were told to stop; nothing may be backfilled then.
     bool reclaiming = false;
+    /// Jobs that were started on its places in the meantime and are stopped when nothing else holds them.
+    std::vector<job_id> backfilled;
 };
 
 } // namespace chervilport
--- a/chervilport/scheduling/reservations.cpp
+++ b/chervilport/scheduling/reservations.cpp
@@ -91,6 +91,29 @@
     });
 }
 
+void noteStart(schedule_state& state, const job_record& job, std::span<const std::int32_t> workers)
+{
+    const auto demands = demandByWorker(job, workers);
+    for (auto entry = state.reservations.begin(); entry != state.reservations.end();) {
+        auto& reserved = entry->second;
+        const auto& owner = state.jobs.at(entry->first);
+        const auto taken = std::any_of(demands.begin(), demands.end(), [&](const auto& demand) {
+            const auto& worker = state.workers[demand.first];
+            const auto count = std::count(reserved.workers.begin(), reserved.workers.end(), demand.first);
+            const auto kept = owner.spec.perTask * static_cast<std::int32_t>(count);
+            return count > 0 && !fits(demand.second + kept, worker.capacity - worker.used);
+        });
+        if (!taken || owner.id == job.id) {
+            ++entry;
+        } else if (mayPass(state, job, owner)) {
+            entry = state.reservations.erase(entry);
+        } else {
+            reserved.backfilled.push_back(job.id);
+            ++entry;
+        }
+    }
+}
+
 bool arePlacesFree(const schedule_state& state, const job_record& job, std::span<const std::int32_t> workers)
 {
     const auto demands = demandByWorker(job, workers);
--- a/chervilport/scheduling/reservations.h
+++ b/chervilport/scheduling/reservations.h
@@ -19,6 +19,10 @@
 /// Drops reservations of jobs that are not queued any more or whose places went out of service.
 void dropInvalidReservations(schedule_state&);
 
+/// Notes that a job starts on the given workers: reservations that it may use count it as backfilled, and ones that it
+/// passes by are dropped.
+void noteStart(schedule_state&, const job_record&, std::span<const std::int32_t> workers);
+
 /// Returns whether all places are free now.
 bool arePlacesFree(const schedule_state&, const job_record&, std::span<const std::int32_t> workers);
 
--- a/chervilport/scheduling/schedule_pass.cpp
+++ b/chervilport/scheduling/schedule_pass.cpp
@@ -73,8 +73,7 @@
 
     bool tryStart(pass& run, job_record& job)
     {
-        constexpr std::int32_t backfillQuantile = 800;
-        const auto remaining = remainingQuantile(run.state, job.spec, job.savedRunTime, backfillQuantile);
+        const auto remaining = backfillRunTime(run.state, job);
         if (isHopeless(run, job, remaining))
             return false;
         const auto places = findFreePlaces(run.state, job);
--- a/chervilport/scheduling/state_codec.cpp
+++ b/chervilport/scheduling/state_codec.cpp
@@ -88,6 +88,7 @@
     visitFields(archive, value.madeAt);
     visitFields(archive, value.expectedAt);
     visitFields(archive, value.reclaiming);
+    visitFields(archive, value.backfilled);
 }
 
 template <typename Archive> void visitFields(Archive& archive, witness_instance& value)
