--- a/chervilport/scheduling/attempts.cpp
+++ b/chervilport/scheduling/attempts.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/scheduling/attempts.h"
 
 #include "chervilport/scheduling/estimates.h"
+#include "chervilport/scheduling/reservations.h"
 #include "chervilport/scheduling/resource_math.h"
 #include "chervilport/scheduling/schedule_state.h"
 
@@ -99,6 +100,7 @@
     job.killed = false;
     job.killAt.reset();
     state.reservations.erase(job.id);
+    noteStart(state, job, workers);
     changeState(job, job_state::Starting, "", out);
     for (std::size_t rank = 0; rank < workers.size(); ++rank) {
         auto& worker = state.workers[workers[rank]];
@@ -111,7 +113,7 @@
 }
 
 void stopAttempt(schedule_state& state, job_record& job, stop_mode mode, job_state afterStop, const std::string& reason,
-    std::vector<command>& out)
+    std::vector<command>& out, log_duration patience)
 {
     const auto stopping = job.state == job_state::Stopping;
     if (stopping && job.afterStop != job_state::Queued)
@@ -127,7 +129,7 @@
     }
     job.killed = mode == stop_mode::Kill;
     if (!job.killed)
-        job.killAt = state.now + state.configuration.policy.stopTimeout;
+        job.killAt = state.now + patience;
     changeState(job, job_state::Stopping, reason, out);
     for (std::size_t rank = 0; rank < job.tasks.size(); ++rank) {
         auto& task = job.tasks[rank];
@@ -140,9 +142,11 @@
 
 void killAttempt(schedule_state& state, job_record& job, std::vector<command>& out)
 {
-    job.killAt.reset();
     if (job.killed)
         return;
+    if (job.killAt && *job.killAt <= state.now)
+        ++job.lostCheckpoints;
+    job.killAt.reset();
     job.killed = true;
     for (std::size_t rank = 0; rank < job.tasks.size(); ++rank)
         if (job.tasks[rank].phase == task_phase::Stopping)
