--- a/benchmarks/policy/policy_driver.h
+++ b/benchmarks/policy/policy_driver.h
@@ -109,6 +109,7 @@
     void closeAttempt(live_attempt&);
     void closeJob(std::size_t job);
     std::size_t jobIndex(job_id) const;
+    // Adds the virtual time to a violation.
     [[noreturn]] void fail(const std::string& what) const;
 
     const event_stream& m_stream;
@@ -124,6 +125,8 @@
     std::vector<std::optional<job_id>> m_ids;
     // Work saved by the last whole checkpoint of each job.
     std::vector<log_duration> m_saved;
+    // Work lost by the last attempt of each job that the scheduler stopped.
+    std::vector<std::int64_t> m_lastLoss;
     std::map<std::string, std::int64_t> m_openAccelerators;
     std::map<std::string, std::int64_t> m_guaranteed;
     std::size_t m_openJobs = 0;
--- a/benchmarks/policy/policy_driver_workers.cpp
+++ b/benchmarks/policy/policy_driver_workers.cpp
@@ -55,7 +55,7 @@
     const auto job = jobIndex(start.task.job);
     const auto& wanted = m_stream.jobs[job];
     if (start.limits != wanted.spec.perTask)
-        fail("job " + std::to_string(job) + " was started with limits other than its demand");
+        throw rule_violation("job " + std::to_string(job) + " was started with limits other than its demand");
     const auto worker = m_workers.workerIndex(start.worker);
     const auto base = start.fromCheckpoint ? m_saved[job] : log_duration { 0 };
     auto* task = m_workers.addTask(job, start.task, worker, base);
@@ -71,6 +71,7 @@
         // A restart from the beginning loses what a checkpoint had saved.
         m_record.work.lostByPreemption += workOf(wanted, m_saved[job] - base);
         m_saved[job] = base;
+        m_lastLoss[job] = 0;
     }
     // A dead worker does not answer.
     const auto& target = m_workers.worker(worker);
@@ -258,7 +259,8 @@
         else if (isSaved)
             m_saved[attempt.job] = attempt.base + progress;
         else
-            m_record.work.lostByPreemption += workOf(job, progress);
+            m_lastLoss[attempt.job] = workOf(job, progress);
+        m_record.work.lostByPreemption += m_lastLoss[attempt.job];
         if (!isCancelled && !attempt.isBroken)
             ++m_record.preemptions;
     }
