--- /dev/null
+++ b/benchmarks/control/bench-capacity.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- a/chervilport/instance/control_core.h
+++ b/chervilport/instance/control_core.h
@@ -75,6 +75,9 @@
     /// Sends a notice to one instance, this one included.
     void notify(std::uint64_t instance, const std::string& notice);
 
+    /// Writes gauges of the traffic with other instances. Safe on any thread.
+    void recordGauges();
+
     /// Returns the incarnation of this instance. Safe on any thread.
     std::uint64_t incarnation() const { return m_storage.incarnation(); }
 
--- a/chervilport/instance/control_core_calls.cpp
+++ b/chervilport/instance/control_core_calls.cpp
@@ -229,6 +229,23 @@
         done({ std::nullopt, true, "instance " + std::to_string(instance) + " cannot be reached" });
 }
 
+void control_core::recordGauges()
+{
+    if (!m_peers)
+        return;
+    for (const auto& [peer, counted] : m_peers->counters().peers) {
+        const auto name = std::to_string(static_cast<std::uint64_t>(peer));
+        const auto set = [&](std::string_view metric, const char* direction, std::uint64_t value) {
+            m_metrics.set(metric, { { "peer", name }, { "direction", direction } }, static_cast<double>(value));
+        };
+        set("chervilport_peer_bytes_total", "in", counted.bytesIn);
+        set("chervilport_peer_bytes_total", "out", counted.bytesOut);
+        set("chervilport_peer_messages_total", "in", counted.messagesIn);
+        set("chervilport_peer_messages_total", "out", counted.messagesOut);
+        m_metrics.set("chervilport_peer_connected", { { "peer", name } }, counted.connected ? 1 : 0);
+    }
+}
+
 domain_capacity control_core::ownCapacity() const
 {
     domain_capacity capacity;
--- a/chervilport/instance/control_plane.cpp
+++ b/chervilport/instance/control_plane.cpp
@@ -104,6 +104,8 @@
         });
 }
 
+void control_plane::recordGauges() { m_implementation->core->recordGauges(); }
+
 std::uint64_t control_plane::incarnation() const { return m_implementation->core->incarnation(); }
 
 bool control_plane::isReady() const { return m_implementation->core->isReady(); }
--- a/chervilport/instance/control_plane.h
+++ b/chervilport/instance/control_plane.h
@@ -53,6 +53,9 @@
     /// thread.
     void submitClaim(claim_step, log_duration patience, std::function<void(claim_store_reply)> done);
 
+    /// Writes gauges of the traffic with other instances.
+    void recordGauges();
+
     /// Returns the incarnation of this instance.
     std::uint64_t incarnation() const;
 
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -7,6 +7,7 @@
 #include "chervilport/instance/control_access.h"
 #include "chervilport/instance/control_plane.h"
 #include "chervilport/instance/data_plane.h"
+#include "chervilport/instance/message_size.h"
 #include "chervilport/instance/read_tokens.h"
 #include "chervilport/instance/routing_notice.h"
 #include "chervilport/instance/split_address.h"
@@ -89,6 +90,7 @@
     void handle(http_request, const http_responder&);
     data_plane_hooks dataHooks();
     void receiveNotice(std::uint64_t sender, const std::string& notice);
+    void countControl(const char* direction, std::size_t bytes);
     http_response renderMetrics();
     void handleUpstreams(const http_request&, const http_responder&);
     void handleControl(http_request, const http_responder&);
@@ -138,6 +140,7 @@
     control_plane_hooks hooks;
     hooks.sendToWorker = [this](const std::string& worker, http_request request) {
         asio::post(context, [this, worker, request = std::move(request)] {
+            countControl("out", wireBytes(request));
             client.send({ worker, request, workerCallTimeout }, [worker](const http_result& result) {
                 if (result.delivery != http_delivery::Complete)
                     logWarning("workers", "worker " + worker + " did not take its commands");
@@ -202,8 +205,15 @@
     }
 }
 
+void instance::implementation::countControl(const char* direction, std::size_t bytes)
+{
+    metrics.increment("chervilport_control_http_bytes_total", { { "direction", direction } }, bytes);
+    metrics.increment("chervilport_control_http_messages_total", { { "direction", direction } });
+}
+
 http_response instance::implementation::renderMetrics()
 {
+    control.recordGauges();
     data.recordGauges();
     metrics.set("chervilport_ready", {}, control.isReady() && !stopping ? 1 : 0);
     metrics.set("chervilport_connections", {}, static_cast<double>(listener.connections()));
@@ -238,12 +248,19 @@
         return;
     }
     if (request.target == "/v1/announce" && request.method == "POST" && !announcesWorker(request.body)) {
-        responder(data.announceExecutor(request.body));
+        auto response = data.announceExecutor(request.body);
+        countControl("in", wireBytes(request));
+        countControl("out", wireBytes(response));
+        responder(std::move(response));
         return;
     }
     const auto remaining = readDeadline(request);
+    countControl("in", wireBytes(request));
     control.handle(std::move(request), remaining, [this, responder](http_response response) {
-        asio::post(context, [responder, response = std::move(response)]() mutable { responder(std::move(response)); });
+        asio::post(context, [this, responder, response = std::move(response)]() mutable {
+            countControl("out", wireBytes(response));
+            responder(std::move(response));
+        });
     });
 }
 
--- a/tests/session/child_process.h
+++ b/tests/session/child_process.h
@@ -16,6 +16,9 @@
     child_process(child_process&&) noexcept;
     child_process& operator=(child_process&&) noexcept;
 
+    /// Returns the process id, -1 after the end.
+    pid_t pid() const { return m_pid; }
+
     /// Sends a signal.
     void signal(int number) const;
 
--- a/tests/session/session_cluster.h
+++ b/tests/session/session_cluster.h
@@ -48,6 +48,9 @@
     /// Waits for the end of an instance and returns its exit code.
     int wait(std::uint64_t id);
 
+    /// Returns the process id of an instance.
+    pid_t pid(std::uint64_t id) const { return m_processes.at(id).pid(); }
+
     /// Returns the address of an instance's HTTP listener.
     std::string address(std::uint64_t id) const;
 
