Measure the request path with real instances

Cause: chervilportd serves requests now; the hosts that stood for it are no longer needed.

Change: the benchmark starts three chervilportd processes with data folders and 16 stand-in executors. Ports of instances lie below the range of ports that the system chooses: in a trial an executor was given the port of an instance, and the load went to the executor past the instances.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	cmake --build --preset release --target bench_policy
 	build/release/benchmarks/policy/bench_policy $(ARGS)
 
-# Hosts and executors as processes on the loopback address: make bench-requests ARGS="--seed 7"
+# Instances and executors as processes on the loopback address: make bench-requests ARGS="--seed 7"
 bench-requests: install
 	cmake --preset release >/dev/null
 	cmake --build --preset release --target bench_requests
--- a/benchmarks/requests/scenarios.cpp
+++ b/benchmarks/requests/scenarios.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    constexpr int hosts = 3;
+    constexpr int instanceCount = 3;
     constexpr int executors = 16;
 
     struct bench_context {
@@ -70,7 +70,7 @@
         return row;
     }
 
-    // The same load straight to the executors and over the hosts; few callers, so that nothing queues.
+    // The same load straight to the executors and over the instances; few callers, so that nothing queues.
     void runLatency(bench_context& bench, const test_bed& bed, std::vector<scenario_row>& rows)
     {
         load_plan plan;
@@ -84,7 +84,7 @@
         const auto measureAgainst = [&](const std::string& name, double nonIdempotentShare) {
             plan.name = name;
             plan.path = load_plan().path;
-            plan.targets = bed.hosts();
+            plan.targets = bed.instances();
             plan.nonIdempotentShare = nonIdempotentShare;
             const auto result = runLoad(bench.io, bench.client, plan);
             const auto truth = checkTruth(result, readRecords(bench.io, bench.client, bed.executors()));
@@ -114,7 +114,7 @@
     {
         load_plan plan;
         plan.name = "saturation";
-        plan.targets = bed.hosts();
+        plan.targets = bed.instances();
         plan.requests = bench.scaled(40'000);
         plan.callers = { { "bus", 60 }, { "ferry", 60 }, { "rail", 240 }, { "tram", 60 } };
         plan.serviceTime = std::chrono::milliseconds(40);
@@ -126,7 +126,7 @@
     {
         constexpr int connections = 1'000;
         const std::string request = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
-        const auto& address = bed.hosts().front();
+        const auto& address = bed.instances().front();
         const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
         std::list<asio::ip::tcp::socket> sockets;
         for (int i = 0; i < connections; ++i) {
@@ -146,14 +146,14 @@
     // Executors with every kind of fault among healthy ones.
     void runFaults(bench_context& bench, std::vector<scenario_row>& rows)
     {
-        test_bed bed(bench.io, bench.client, hosts);
+        test_bed bed(bench.io, bench.client, instanceCount);
         bed.addExecutors(10);
         for (const auto* const fault : { "die-before", "die-after", "cut", "late", "fail", "refuse" })
             bed.addExecutors(1, { "--fault", fault, "--fault-share", "0.05", "--seed", std::to_string(bench.seed) });
         bed.waitUntilReady();
         load_plan plan;
         plan.name = "faults";
-        plan.targets = bed.hosts();
+        plan.targets = bed.instances();
         plan.requests = bench.scaled(100'000);
         plan.callers = { { "bus", 16 }, { "ferry", 16 }, { "rail", 16 }, { "tram", 16 } };
         // 40,000 claims stay below the bound of the claims in bytes.
@@ -167,13 +167,13 @@
     // An executor that fails everything at once, the fastest of all.
     void runFastFailure(bench_context& bench, std::vector<scenario_row>& rows)
     {
-        test_bed bed(bench.io, bench.client, hosts);
+        test_bed bed(bench.io, bench.client, instanceCount);
         bed.addExecutors(executors - 1);
         bed.addExecutors(1, { "--fault", "fail" });
         bed.waitUntilReady();
         load_plan plan;
         plan.name = "fast_failure";
-        plan.targets = bed.hosts();
+        plan.targets = bed.instances();
         plan.requests = bench.scaled(20'000);
         plan.callers = { { "rail", 64 } };
         plan.nonIdempotentShare = 0.5;
@@ -181,26 +181,26 @@
         rows.push_back(measure(bench, bed, plan));
     }
 
-    // A host stops as planned in the middle of the load.
+    // An instance stops as planned in the middle of the load.
     void runPlannedStop(bench_context& bench, std::vector<scenario_row>& rows)
     {
-        test_bed bed(bench.io, bench.client, hosts);
+        test_bed bed(bench.io, bench.client, instanceCount);
         bed.addExecutors(executors);
         bed.waitUntilReady();
         load_plan plan;
         plan.name = "planned_stop";
-        plan.targets = bed.hosts();
+        plan.targets = bed.instances();
         plan.requests = bench.scaled(10'000);
         plan.callers = { { "rail", 64 } };
         plan.nonIdempotentShare = 0.5;
         plan.seed = bench.seed;
         plan.progress = [&](int answers) {
             if (answers == plan.requests / 4)
-                bed.host(hosts - 1).signal(SIGTERM);
+                bed.instance(instanceCount - 1).signal(SIGTERM);
         };
         rows.push_back(measure(bench, bed, plan));
-        if (!bed.host(hosts - 1).hasEnded())
-            std::cerr << "planned_stop: the host has not ended\n";
+        std::cerr << "planned_stop: the instance ended with exit code " << bed.instance(instanceCount - 1).wait()
+                  << '\n';
     }
 
 } // namespace
@@ -212,7 +212,7 @@
     bench.scale = scale;
     std::vector<scenario_row> rows;
     {
-        test_bed bed(bench.io, bench.client, hosts);
+        test_bed bed(bench.io, bench.client, instanceCount);
         bed.addExecutors(executors);
         bed.waitUntilReady();
         runLatency(bench, bed, rows);
--- a/benchmarks/requests/scenarios.h
+++ b/benchmarks/requests/scenarios.h
@@ -21,11 +21,11 @@
     int doubleRuns = 0;
     /// Requests that ran although their caller was told that they did not.
     int falseNotRun = 0;
-    /// Median over the hosts less the median of direct calls, in milliseconds.
+    /// Median over the instances less the median of direct calls, in milliseconds.
     std::optional<double> addedP50Ms;
     /// 99th percentile of direct calls in milliseconds.
     std::optional<double> directP99Ms;
-    /// 99th percentile over the hosts in milliseconds.
+    /// 99th percentile over the instances in milliseconds.
     std::optional<double> p99Ms;
     /// Answers a second.
     std::optional<double> requestsPerSecond;
@@ -33,7 +33,7 @@
     std::optional<double> slotUse;
     /// Jain's index over the results of the workspaces; 1 is even.
     std::optional<double> fairness;
-    /// Largest resident memory of a host in megabytes.
+    /// Largest resident memory of an instance in megabytes.
     std::optional<double> residentMb;
     /// Most requests at the same time at an executor with 8 slots.
     std::optional<int> mostRunning;
--- a/benchmarks/requests/test_bed.cpp
+++ b/benchmarks/requests/test_bed.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    const std::string hostProgram = CHERVILPORT_BUILD_DIR "/benchmarks/requests/bench_requests_host";
+    const std::string instanceProgram = CHERVILPORT_BUILD_DIR "/apps/chervilportd/chervilportd";
     const std::string executorProgram = CHERVILPORT_BUILD_DIR "/standins/executor/standin-executor";
 
     constexpr std::chrono::milliseconds pollPeriod { 20 };
@@ -18,32 +18,85 @@
     /// Three periods of the reports on demand.
     constexpr std::chrono::milliseconds settleTime { 1'500 };
 
+    const std::string environment = R"([environment]
+name = "benchmark"
+failure_domains = ["local"]
+
+[[workspace]]
+name = "bus"
+[[workspace.domain]]
+name = "local"
+
+[[workspace]]
+name = "ferry"
+[[workspace.domain]]
+name = "local"
+
+[[workspace]]
+name = "rail"
+[[workspace.domain]]
+name = "local"
+
+[[workspace]]
+name = "tram"
+[[workspace.domain]]
+name = "local"
+)";
+
+    void writeFile(const std::filesystem::path& file, const std::string& content) { std::ofstream(file) << content; }
+
+    std::string addressOf(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+    // Ports below those that the system chooses by itself: an executor could otherwise be given the port of an instance
+    // that has not yet started.
     std::vector<std::uint16_t> findFreePorts(asio::io_context& context, int count)
     {
-        std::vector<asio::ip::tcp::acceptor> acceptors;
+        constexpr std::uint16_t firstPort = 20'000;
+        constexpr std::uint16_t portRange = 10'000;
+        static std::uint16_t next = static_cast<std::uint16_t>(firstPort + getpid() % portRange);
         std::vector<std::uint16_t> ports;
-        for (int i = 0; i < count; ++i) {
-            acceptors.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-            ports.push_back(acceptors.back().local_endpoint().port());
+        while (ports.size() < static_cast<std::size_t>(count)) {
+            asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+            asio::error_code error;
+            acceptor.bind({ asio::ip::make_address("127.0.0.1"), ++next }, error);
+            if (!error)
+                ports.push_back(next);
         }
         return ports;
     }
 
 } // namespace
 
-test_bed::test_bed(asio::io_context& context, http_client& client, int hosts)
+test_bed::test_bed(asio::io_context& context, http_client& client, int instances)
     : m_context(context)
     , m_client(client)
     , m_folder(std::filesystem::temp_directory_path() / ("chervilport-bench-" + std::to_string(getpid())))
 {
     std::filesystem::create_directories(m_folder);
-    const auto ports = findFreePorts(context, hosts);
-    for (const auto port : ports)
-        m_hosts.push_back("127.0.0.1:" + std::to_string(port));
-    for (std::size_t i = 0; i < ports.size(); ++i) {
-        std::vector<std::string> arguments { "host" + std::to_string(i + 1), std::to_string(ports[i]) };
-        arguments.insert(arguments.end(), m_hosts.begin(), m_hosts.end());
-        m_hostProcesses.emplace_back(hostProgram, arguments);
+    writeFile(m_folder / "secret", "benchmark\n");
+    writeFile(m_folder / "environment.toml", environment);
+    const auto ports = findFreePorts(context, 2 * instances);
+    std::string list;
+    for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i) {
+        m_instances.push_back(addressOf(ports[2 * i]));
+        list += "  { id = " + std::to_string(i + 1) + ", failure_domain = \"local\", http = \"" + m_instances.back()
+            + "\", peer = \"" + addressOf(ports[2 * i + 1])
+            + "\", disk = true, domain_voter = true, fleet_voter = " + (i == 0 ? "true" : "false") + " },\n";
+    }
+    for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i) {
+        const auto name = "instance" + std::to_string(i + 1);
+        const auto file = m_folder / (name + ".toml");
+        writeFile(file,
+            "[instance]\nid = " + std::to_string(i + 1) + "\nfailure_domain = \"local\"\ndata_folder = \""
+                + (m_folder / name).string() + "\"\ninitial_environment = \"" + (m_folder / "environment.toml").string()
+                + "\"\nstop_grace_ms = 200\n[listen]\nhttp = \"" + m_instances[i] + "\"\npeer = \""
+                + addressOf(ports[2 * i + 1]) + "\"\n[log]\nfile = \"" + (m_folder / (name + ".log")).string()
+                + "\"\n[cluster]\nsecret_file = \"" + (m_folder / "secret").string() + "\"\ninstances = [\n" + list
+                + "]\n");
+        std::vector<std::string> arguments { "--config", file.string() };
+        if (i == 0)
+            arguments.insert(arguments.end(), { "--initialize", "cluster" });
+        m_instanceProcesses.emplace_back(instanceProgram, arguments);
     }
 }
 
@@ -57,9 +110,9 @@
 {
     const auto file = m_folder / ("executors" + std::to_string(m_executorProcesses.size()));
     std::vector<std::string> all { "--count", std::to_string(count), "--address-file", file.string() };
-    for (const auto& host : m_hosts) {
+    for (const auto& instance : m_instances) {
         all.emplace_back("--instance");
-        all.push_back(host);
+        all.push_back(instance);
     }
     all.insert(all.end(), arguments.begin(), arguments.end());
     m_executorProcesses.emplace_back(executorProgram, all);
@@ -73,18 +126,19 @@
     std::copy(std::istream_iterator<std::string>(in), {}, std::back_inserter(m_executors));
 }
 
-bool test_bed::answers(const std::string& host)
+bool test_bed::answers(const std::string& instance)
 {
     constexpr int okStatus = 200;
     http_client_request request;
-    request.address = host;
-    request.request = { "POST", "/v1/requests/pairing/run", { { "Chervilport-Workspace", "w" } }, "ready" };
+    request.address = instance;
+    request.request = { "POST", "/v1/requests/pairing/run", { { "Chervilport-Workspace", "rail" } }, "ready" };
     request.request.headers.push_back({ "Chervilport-Idempotent", "true" });
     bool hasEnded = false;
     bool isOk = false;
     m_client.send(std::move(request), [&](const http_result& result) {
         hasEnded = true;
         isOk = result.delivery == http_delivery::Complete && result.response.status == okStatus;
+        m_lastAnswer = result.detail + result.response.body;
     });
     while (!hasEnded)
         m_context.run_one();
@@ -94,25 +148,25 @@
 void test_bed::waitUntilReady()
 {
     const auto begin = std::chrono::steady_clock::now();
-    for (const auto& host : m_hosts) {
-        while (!answers(host)) {
+    for (const auto& instance : m_instances) {
+        while (!answers(instance)) {
             if (std::chrono::steady_clock::now() - begin > startTimeout)
-                throw std::runtime_error("the host " + host + " does not serve");
+                throw std::runtime_error("the instance " + instance + " does not serve: " + m_lastAnswer);
             pass(pollPeriod);
         }
     }
     pass(settleTime);
 }
 
-child_process& test_bed::host(std::size_t index)
+child_process& test_bed::instance(std::size_t index)
 {
-    return *std::next(m_hostProcesses.begin(), static_cast<std::ptrdiff_t>(index));
+    return *std::next(m_instanceProcesses.begin(), static_cast<std::ptrdiff_t>(index));
 }
 
 double test_bed::residentMb() const
 {
     double largest = 0;
-    for (const auto& process : m_hostProcesses)
+    for (const auto& process : m_instanceProcesses)
         largest = std::max(largest, process.residentMb());
     return largest;
 }
--- a/benchmarks/requests/test_bed.h
+++ b/benchmarks/requests/test_bed.h
@@ -11,11 +11,11 @@
 
 namespace chervilport {
 
-/// Hosts and executors as processes of their own.
+/// Instances and executors as processes of their own.
 class test_bed {
 public:
-    /// Starts the hosts, or none.
-    test_bed(asio::io_context&, http_client&, int hosts);
+    /// Starts the instances of one failure domain.
+    test_bed(asio::io_context&, http_client&, int instances);
     ~test_bed();
 
     test_bed(const test_bed&) = delete;
@@ -24,29 +24,30 @@
     /// Starts a process with so many executors and waits for their addresses.
     void addExecutors(int count, const std::vector<std::string>& arguments = {});
 
-    /// Waits until a request at each host reaches an executor and the shares have settled.
+    /// Waits until a request at each instance reaches an executor and the shares have settled.
     void waitUntilReady();
 
-    /// Addresses of the hosts.
-    const std::vector<std::string>& hosts() const { return m_hosts; }
+    /// Addresses of the instances.
+    const std::vector<std::string>& instances() const { return m_instances; }
     /// Addresses of the executors.
     const std::vector<std::string>& executors() const { return m_executors; }
-    /// Process of a host.
-    child_process& host(std::size_t index);
-    /// Largest resident memory of the hosts in megabytes.
+    /// Process of an instance.
+    child_process& instance(std::size_t index);
+    /// Largest resident memory of the instances in megabytes.
     double residentMb() const;
     /// Lets time pass while connections are served.
     void pass(std::chrono::milliseconds);
 
 private:
-    bool answers(const std::string& host);
+    bool answers(const std::string& instance);
 
     asio::io_context& m_context;
     http_client& m_client;
     std::filesystem::path m_folder;
-    std::vector<std::string> m_hosts;
+    std::vector<std::string> m_instances;
     std::vector<std::string> m_executors;
-    std::list<child_process> m_hostProcesses;
+    std::string m_lastAnswer;
+    std::list<child_process> m_instanceProcesses;
     std::list<child_process> m_executorProcesses;
 };
 
