Renew worker leases by short keep-alives every 10 s

Cause: with 77 workers the domain leader spent 33.3 KB/s, because every worker sent its whole announcement every 3 s and followers forwarded it. Change: while nothing has changed a worker refers to its last acknowledged announcement; a leader that does not hold it asks for the whole one. Session tests: the gang of a dead worker runs again elsewhere; a new leader keeps the leases of live workers for three terms in one attempt.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: install build test format format-check lint bench-policy bench-requests clean
+.PHONY: bench-control bench-capacity install build test format format-check lint bench-policy bench-requests clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -40,5 +40,11 @@
 	cmake --build --preset release --target bench_requests
 	build/release/benchmarks/requests/bench_requests $(ARGS)
 
+bench-control: build
+	build/release/benchmarks/control/bench-control $(ARGS)
+
+bench-capacity: build
+	build/release/benchmarks/control/bench-capacity $(ARGS)
+
 clean:
 	rm -rf build
--- a/benchmarks/control/bench-capacity.cpp
+++ b/benchmarks/control/bench-capacity.cpp
@@ -1,1 +1,184 @@
-int main() { return 0; }
+/// Measures how state, messages, bytes, processor time and memory of control grow with workers, running tasks, queued
+/// jobs, executors and changes, on real processes on loopback with small stand-ins.
+
+#include "benchmarks/control/control_probe.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace chervilport;
+
+constexpr double observationSeconds = 12;
+constexpr double settlingSeconds = 11;
+constexpr int tasksPerJob = 8;
+
+std::unique_ptr<session_cluster> makeCluster()
+{
+    auto cluster = std::make_unique<session_cluster>(std::vector<session_instance> {
+        { 1, "local", true, true }, { 2, "local", true, false }, { 3, "local", false, false } });
+    cluster->startAll();
+    waitUntil("all three vote", [&] {
+        const auto leader = cluster->leader(1);
+        const auto status = leader ? cluster->status(leader) : nlohmann::json::object();
+        return status.contains("domain_log") && status["domain_log"]["role"] == "leader"
+            && status["domain_log"]["voters"].size() == 3;
+    });
+    return cluster;
+}
+
+void startWorkers(session_cluster& cluster, int count)
+{
+    if (!count)
+        return;
+    cluster.startStandin(STANDIN_WORKER_PATH, { 1, 2, 3 }, { "--count", std::to_string(count) });
+    waitUntil("all workers joined", [&] { return cluster.status(1)["jobs"]["workers"] == count; });
+}
+
+void submitJobs(const session_cluster& cluster, int count, int accelerators)
+{
+    const nlohmann::json job { { "workspace", "default" }, { "tasks", tasksPerJob },
+        { "per_task", { { "accelerators", accelerators }, { "millicores", 100 }, { "memory_mb", 64 } } },
+        { "run_time_s", 3600 }, { "payload", R"({"run_ms":3600000})" } };
+    for (int i = 0; i < count; ++i)
+        sendSessionCall({ "POST", cluster.address(1), "/v1/jobs", {}, job.dump() });
+}
+
+nlohmann::json rowOf(const std::string& variable, int value, const std::string& role, const control_rates& rates)
+{
+    return { { "variable", variable }, { "value", value }, { "role", role }, { "core_share", rates.coreShare },
+        { "resident_bytes", rates.residentBytes }, { "peer_bytes_per_s", rates.peerBytes },
+        { "peer_messages_per_s", rates.peerMessages }, { "http_bytes_per_s", rates.httpBytes },
+        { "http_messages_per_s", rates.httpMessages } };
+}
+
+// Observes all roles at the same time and appends a row for each.
+void observeRoles(const session_cluster& cluster, const std::string& variable, int value, nlohmann::json& rows)
+{
+    std::this_thread::sleep_for(std::chrono::duration<double>(settlingSeconds));
+    const auto leader = cluster.leader(1);
+    std::vector<control_sample> from;
+    for (const std::uint64_t id : { 1, 2, 3 })
+        from.push_back(sampleInstance(cluster, id));
+    std::this_thread::sleep_for(std::chrono::duration<double>(observationSeconds));
+    for (const std::uint64_t id : { 1, 2, 3 }) {
+        const auto rates = ratesBetween(from[id - 1], sampleInstance(cluster, id));
+        rows.push_back(rowOf(variable, value, id == leader ? "domain_leader" : "domain_follower", rates));
+    }
+    std::cout << variable << ' ' << value << " done" << std::endl;
+}
+
+void measureWorkers(nlohmann::json& rows)
+{
+    for (const int count : { 0, 32, 77, 154 }) {
+        const auto cluster = makeCluster();
+        startWorkers(*cluster, count);
+        observeRoles(*cluster, "workers", count, rows);
+    }
+}
+
+// Running tasks on 77 workers.
+void measureTasks(nlohmann::json& rows)
+{
+    constexpr int workers = 77;
+    for (const int tasks : { 160, 312, 616 }) {
+        const auto cluster = makeCluster();
+        startWorkers(*cluster, workers);
+        submitJobs(*cluster, tasks / tasksPerJob, 1);
+        waitUntil("the tasks run", [&] { return cluster->status(1)["jobs"]["active_tasks"].get<int>() >= tasks; });
+        observeRoles(*cluster, "running_tasks", tasks, rows);
+    }
+}
+
+// Jobs that wait because the only worker is full.
+void measureQueue(nlohmann::json& rows)
+{
+    for (const int queued : { 100, 300, 900 }) {
+        const auto cluster = makeCluster();
+        startWorkers(*cluster, 1);
+        submitJobs(*cluster, queued, 1);
+        observeRoles(*cluster, "queued_jobs", queued, rows);
+    }
+}
+
+void measureExecutors(nlohmann::json& rows)
+{
+    for (const int count : { 10, 25, 50 }) {
+        const auto cluster = makeCluster();
+        cluster->startStandin(STANDIN_EXECUTOR_PATH, { 1, 2, 3 }, { "--count", std::to_string(count) });
+        observeRoles(*cluster, "executors", count, rows);
+    }
+}
+
+// Commits a second on the log of the domain.
+void measureCommits(nlohmann::json& rows)
+{
+    for (const int perSecond : { 5, 20, 80 }) {
+        const auto cluster = makeCluster();
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        const auto leader = cluster->leader(1);
+        std::vector<control_sample> from;
+        for (const std::uint64_t id : { 1, 2, 3 })
+            from.push_back(sampleInstance(*cluster, id));
+        const double start = nowSeconds();
+        const int total = static_cast<int>(perSecond * observationSeconds);
+        for (int i = 0; i < total; ++i) {
+            commitOnce(*cluster, 1);
+            const double next = start + (i + 1.0) / perSecond;
+            std::this_thread::sleep_for(std::chrono::duration<double>(std::max(0.0, next - nowSeconds())));
+        }
+        for (const std::uint64_t id : { 1, 2, 3 }) {
+            const auto rates = ratesBetween(from[id - 1], sampleInstance(*cluster, id));
+            rows.push_back(
+                rowOf("commits_per_s", perSecond, id == leader ? "domain_leader" : "domain_follower", rates));
+        }
+        std::cout << "commits_per_s " << perSecond << " done" << std::endl;
+    }
+}
+
+// Voters of the fleet log, one instance a domain, idle.
+void measureFleet(nlohmann::json& rows)
+{
+    for (const int domains : { 1, 3, 5, 7 }) {
+        std::vector<session_instance> instances;
+        for (int i = 1; i <= domains; ++i)
+            instances.push_back({ static_cast<std::uint64_t>(i), "domain-" + std::to_string(i), true, true });
+        session_cluster cluster(instances);
+        cluster.startAll();
+        std::this_thread::sleep_for(std::chrono::duration<double>(settlingSeconds));
+        rows.push_back(
+            rowOf("fleet_domains", domains, "fleet_leader", observeInstance(cluster, 1, observationSeconds)));
+        if (domains > 1)
+            rows.push_back(rowOf("fleet_domains", domains, "fleet_voter",
+                observeInstance(cluster, static_cast<std::uint64_t>(domains), observationSeconds)));
+        std::cout << "fleet_domains " << domains << " done" << std::endl;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string output = "build/bench/capacity.json";
+    for (int i = 1; i + 1 < argc; i += 2) {
+        if (std::string(argv[i]) == "--output")
+            output = argv[i + 1];
+    }
+    auto rows = nlohmann::json::array();
+    measureFleet(rows);
+    measureWorkers(rows);
+    measureTasks(rows);
+    measureQueue(rows);
+    measureExecutors(rows);
+    measureCommits(rows);
+    std::filesystem::create_directories(std::filesystem::path(output).parent_path());
+    std::ofstream(output) << rows.dump(1) << '\n';
+    return 0;
+}
--- a/benchmarks/control/bench-control.cpp
+++ b/benchmarks/control/bench-control.cpp
@@ -27,6 +27,7 @@
 constexpr int missedChanges = 1'000;
 constexpr int configurationRounds = 10;
 constexpr double observationSeconds = 20;
+constexpr double settlingSeconds = 12;
 constexpr int workersOfDomain = 77;
 
 std::vector<std::uint64_t> othersThan(std::uint64_t id)
@@ -166,8 +167,8 @@
 
 double totalBytes(const control_rates& rates) { return rates.peerBytes + rates.httpBytes; }
 
-// The load of one of seven domains: 77 workers, 315 tasks running, a job submitted every 990 s is rounded up to one
-// every 5 s.
+// The load of one of seven domains: 77 workers and 315 tasks running. At 610 jobs a day a domain gets one job in 990 s,
+// which adds nothing that 20 s could show; a second figure has one job every 5 s.
 void measureLoad(session_cluster& cluster, nlohmann::json& result)
 {
     const auto leader = waitForLeader(cluster, { 1, 2, 3 });
@@ -182,6 +183,9 @@
             R"({"workspace":"default","tasks":8,"run_time_s":3600,"payload":"{\"run_ms\":3600000}"})" });
     }
     waitUntil("the jobs run", [&] { return cluster.status(1)["jobs"]["active_tasks"].get<int>() >= 315; });
+    // The first whole announcements after the start of the tasks are not steady state.
+    std::this_thread::sleep_for(std::chrono::duration<double>(settlingSeconds));
+    const auto loaded = observeInstance(cluster, leader, observationSeconds);
     std::atomic<bool> stop { false };
     std::thread submitter([&] {
         while (!stop) {
@@ -190,12 +194,13 @@
             std::this_thread::sleep_for(std::chrono::seconds(5));
         }
     });
-    const auto loaded = observeInstance(cluster, leader, observationSeconds);
+    const auto busy = observeInstance(cluster, leader, observationSeconds);
     stop = true;
     submitter.join();
     result["loaded_bytes_per_s"] = totalBytes(loaded);
     result["loaded_peer_bytes_per_s"] = loaded.peerBytes;
     result["loaded_http_bytes_per_s"] = loaded.httpBytes;
+    result["busy_bytes_per_s"] = totalBytes(busy);
     result["loaded_core_share"] = loaded.coreShare;
     result["resident_mb"] = loaded.residentBytes / bytesPerMb;
 }
--- a/chervilport/instance/worker_announcement.h
+++ b/chervilport/instance/worker_announcement.h
@@ -4,6 +4,7 @@
 #include "chervilport/scheduling/resources.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,9 @@
     std::int32_t rackPosition = 0;
     /// Whole capacity.
     resources capacity;
+    /// Set on a keep-alive, which leaves everything else out: number of the last acknowledged announcement, since which
+    /// nothing has changed.
+    std::optional<std::uint64_t> unchangedSince;
     /// Tasks that run, and ended ones until they are acknowledged.
     std::vector<announced_task> tasks;
 };
--- a/chervilport/instance/worker_controller.cpp
+++ b/chervilport/instance/worker_controller.cpp
@@ -111,6 +111,11 @@
         return;
     }
 
+    if (announcement.unchangedSince) {
+        renew(announcement, reply);
+        return;
+    }
+
     // A worker that is new, restarted or was lost joins first; its reports count only after that.
     const auto finish = [weak = weak_from_this(), announcement, reply = std::move(reply)](bool committed) {
         const auto self = weak.lock();
@@ -172,6 +177,38 @@
     joint->settle(true);
 }
 
+void worker_controller::renew(const worker_announcement& announcement, const reply_callback& reply)
+{
+    // A leader that does not hold the announcement that the worker refers to needs the whole one.
+    const auto known = findWorker(m_domain->schedule(), announcement.address);
+    const auto lease = m_leases.find(announcement.address);
+    const bool holds = known && known->incarnation == announcement.incarnation && lease != m_leases.end()
+        && lease->second.incarnation == announcement.incarnation
+        && lease->second.sequence == *announcement.unchangedSince && !lease->second.losing;
+    if (!holds) {
+        reply({ 200, { { "Content-Type", "application/json" } }, R"({"send_full":true})" });
+        return;
+    }
+    if (!m_leading || !m_group->mayServe()) {
+        reply(makeErrorResponse(error_kind::NotLeader, "this instance no longer leads the domain"));
+        return;
+    }
+    lease->second.grantedAt = monotonicNow();
+    reply(leaseResponse(nlohmann::json::array()));
+}
+
+http_response worker_controller::leaseResponse(const nlohmann::json& acknowledged) const
+{
+    nlohmann::json body {
+        { "lease_ms", m_config.lease.count() },
+        { "renew_ms", m_config.renewal.count() },
+        { "epoch", m_group->status().term },
+    };
+    if (!acknowledged.empty())
+        body["acknowledged"] = acknowledged;
+    return { 200, { { "Content-Type", "application/json" } }, body.dump() };
+}
+
 void worker_controller::grant(const worker_announcement& announcement, const reply_callback& reply)
 {
     if (!m_leading || !m_group->mayServe()) {
@@ -191,13 +228,7 @@
             acknowledged.push_back(taskToJson(announced.task));
     }
     lease.committedReports = std::move(kept);
-    const nlohmann::json body {
-        { "lease_ms", m_config.lease.count() },
-        { "renew_ms", m_config.renewal.count() },
-        { "epoch", m_group->status().term },
-        { "acknowledged", std::move(acknowledged) },
-    };
-    reply({ 200, { { "Content-Type", "application/json" } }, body.dump() });
+    reply(leaseResponse(acknowledged));
 }
 
 void worker_controller::dispatch(std::span<const command> commands)
--- a/chervilport/instance/worker_controller.h
+++ b/chervilport/instance/worker_controller.h
@@ -6,6 +6,8 @@
 #include "chervilport/instance/worker_lease.h"
 #include "chervilport/scheduling/command.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -28,9 +30,9 @@
     /// Failure domain of this instance.
     std::string failureDomain;
     /// Length of a lease.
-    std::chrono::milliseconds lease { 10'000 };
+    std::chrono::milliseconds lease { 30'000 };
     /// Time between two announcements of a worker.
-    std::chrono::milliseconds renewal { 3'000 };
+    std::chrono::milliseconds renewal { 10'000 };
     /// Largest difference between the clock rates of two machines, in thousandths.
     std::int32_t clockRateMargin = 10;
     /// Sends a request to the HTTP address of a worker; answers are not needed, as workers report by announcement.
@@ -75,6 +77,8 @@
     void tick();
     void loseExpiredWorkers(log_time now);
     void submitReports(const worker_announcement&, const std::function<void(bool)>& done);
+    void renew(const worker_announcement&, const reply_callback&);
+    http_response leaseResponse(const nlohmann::json& acknowledged) const;
     void grant(const worker_announcement&, const reply_callback&);
 
     worker_controller_config m_config;
--- a/chervilport/settings/settings.h
+++ b/chervilport/settings/settings.h
@@ -58,9 +58,9 @@
     std::size_t maxQueuedRequests = 1'000;
 
     /// Length of a worker's lease.
-    std::chrono::milliseconds lease { 10'000 };
+    std::chrono::milliseconds lease { 30'000 };
     /// Time between two renewals of a worker's lease.
-    std::chrono::milliseconds leaseRenewal { 3'000 };
+    std::chrono::milliseconds leaseRenewal { 10'000 };
     /// Time after which an executor that did not announce itself is gone.
     std::chrono::milliseconds announcementExpiry { 10'000 };
     /// Heartbeat of the domain's replication group.
--- a/standins/worker/standin_worker.cpp
+++ b/standins/worker/standin_worker.cpp
@@ -158,6 +158,8 @@
 
 void standin_worker::announceSoon()
 {
+    m_changed = true;
+    m_unchangedSince.reset();
     if (m_announcing) {
         m_announceAgain = true;
         return;
@@ -201,6 +203,11 @@
 void standin_worker::takeLease(const std::string& body, std::chrono::steady_clock::time_point sentAt)
 {
     const auto reply = parseOr(body, json::object());
+    if (reply.value("send_full", false)) {
+        m_unchangedSince.reset();
+        m_announceAgain = true;
+        return;
+    }
     const auto epoch = reply.value("epoch", std::uint64_t { 0 });
     if (epoch < m_epoch)
         return;
@@ -210,6 +217,8 @@
     m_renewal = std::chrono::milliseconds(reply.value("renew_ms", 1'000));
     for (const auto& item : reply.value("acknowledged", json::array()))
         m_tasks.erase({ item.at("job"), item.at("attempt"), item.at("rank") });
+    if (!m_unchangedSince && !m_changed)
+        m_unchangedSince = m_sequence;
 }
 
 void standin_worker::checkLease()
@@ -218,6 +227,7 @@
     if (m_hasLease && std::chrono::steady_clock::now() >= m_leaseEnd) {
         m_hasLease = false;
         m_tasks.clear();
+        m_unchangedSince.reset();
         m_incarnation = makeIncarnation();
     }
     m_timers->lease.expires_after(leaseCheckInterval);
@@ -235,6 +245,13 @@
         const auto& [job, attempt, rank] = key;
         tasks.push_back({ { "job", job }, { "attempt", attempt }, { "rank", rank }, { "state", each.state } });
     }
+    if (m_unchangedSince) {
+        const json keepAlive { { "kind", "worker" }, { "address", m_address },
+            { "failure_domain", m_options.failureDomain }, { "incarnation", m_incarnation },
+            { "sequence", ++m_sequence }, { "unchanged_since", *m_unchangedSince } };
+        return keepAlive.dump();
+    }
+    m_changed = false;
     const json body {
         { "kind", "worker" },
         { "address", m_address },
--- a/standins/worker/standin_worker.h
+++ b/standins/worker/standin_worker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -65,6 +66,8 @@
     std::uint64_t m_serial = 0;
     std::uint64_t m_startedTasks = 0;
     std::size_t m_instanceIndex = 0;
+    bool m_changed = true;
+    std::optional<std::uint64_t> m_unchangedSince;
     bool m_announcing = false;
     bool m_announceAgain = false;
     bool m_hasLease = false;
--- /dev/null
+++ b/tests/session/worker_lease_test.cpp
@@ -0,0 +1,73 @@
+#include "tests/session/session_cluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+
+namespace {
+
+std::string submitGang(const session_cluster& cluster, std::uint64_t instance, int runMs)
+{
+    const nlohmann::json job { { "workspace", "default" }, { "tasks", 8 }, { "placement", "worker" },
+        { "payload", R"({"run_ms":)" + std::to_string(runMs) + "}" } };
+    const auto answer = sendSessionCall({ "POST", cluster.address(instance), "/v1/jobs", {}, job.dump() });
+    cr_assert_eq(answer.status, 201);
+    return answer.json().at("id").get<std::string>();
+}
+
+nlohmann::json showJob(const session_cluster& cluster, std::uint64_t instance, const std::string& id)
+{
+    const auto answer = sendSessionCall({ "GET", cluster.address(instance), "/v1/jobs/" + id, {}, {} });
+    return answer.status == 200 ? answer.json() : nlohmann::json { { "state", "" } };
+}
+
+void waitForState(
+    const session_cluster& cluster, std::uint64_t instance, const std::string& id, const std::string& state)
+{
+    waitUntil("job " + id + " is " + state, [&] { return showJob(cluster, instance, id)["state"] == state; });
+}
+
+void waitForWorkers(const session_cluster& cluster, std::uint64_t instance, int count)
+{
+    waitUntil("the workers joined", [&] {
+        const auto status = cluster.status(instance);
+        return status.contains("jobs") && status["jobs"]["workers"] == count;
+    });
+}
+
+} // namespace
+
+// Guards against a gang that waits for ever on a dead worker, and against a second attempt that is not the only one.
+Test(workerLease, gangOfDeadWorkerRunsAgainElsewhere)
+{
+    session_cluster cluster({ { 1, "local", true, true } }, "[timing]\nlease_ms = 1500\nlease_renewal_ms = 200\n");
+    cluster.startAll();
+    const auto first = cluster.startStandin(STANDIN_WORKER_PATH, { 1 }, { "--count", "1" });
+    waitForWorkers(cluster, 1, 1);
+    const auto id = submitGang(cluster, 1, 500);
+    waitForState(cluster, 1, id, "running");
+    cluster.standin(first).kill();
+    const auto second = cluster.startStandin(STANDIN_WORKER_PATH, { 1 }, { "--count", "1" });
+    waitForState(cluster, 1, id, "succeeded");
+    cr_assert_geq(showJob(cluster, 1, id)["attempt"].get<int>(), 2);
+    cr_assert_gt(cluster.standin(second).pid(), 0);
+}
+
+// Guards against a new leader that grants short keep-alives for announcements it never saw, or that declares workers
+// lost which renew their leases with it: the gang outlives three terms of the lease under the new leader in one
+// attempt.
+Test(workerLease, newLeaderKeepsTheLeasesOfLiveWorkers)
+{
+    session_cluster cluster({ { 1, "local", true, true }, { 2, "local", true }, { 3, "local", true } },
+        "[timing]\nlease_ms = 3000\nlease_renewal_ms = 300\n");
+    cluster.startAll();
+    cluster.startStandin(STANDIN_WORKER_PATH, { 1, 2, 3 }, { "--count", "2" });
+    waitForWorkers(cluster, 2, 2);
+    const auto leader = cluster.leader(2);
+    const std::uint64_t other = leader == 1 ? 2 : 1;
+    const auto id = submitGang(cluster, other, 10'000);
+    waitForState(cluster, other, id, "running");
+    cluster.kill(leader);
+    waitForState(cluster, other, id, "succeeded");
+    cr_assert_eq(showJob(cluster, other, id)["attempt"].get<int>(), 1);
+}
