--- a/chervilport/transport/detail/outbox.cpp
+++ b/chervilport/transport/detail/outbox.cpp
@@ -45,12 +45,13 @@
 
     // Append what the peer would accept.
     for (auto& each : value.messages) {
-        const auto bytes = sizeOf(each);
-        if (bytes > m_maxItemBytes) {
+        if (sizeOf(each) > m_maxItemBytes) {
             ++result.dropped;
             continue;
         }
-        m_bytes += bytes;
+        if (isOversized(each))
+            result.dropped += dropOversized();
+        m_bytes += countedBytes(each);
         m_messages.push_back(std::move(each));
     }
     for (auto& each : value.notices) {
@@ -89,6 +90,7 @@
         if (bytes != 0 && bytes + size > maxBytes)
             break;
         bytes += size;
+        m_bytes -= countedBytes(m_messages.front());
         output.messages.push_back(std::move(m_messages.front()));
         m_messages.pop_front();
     }
@@ -97,10 +99,10 @@
         if (bytes != 0 && bytes + size > maxBytes)
             break;
         bytes += size;
+        m_bytes -= size;
         output.notices.push_back(std::move(m_notices.front()));
         m_notices.pop_front();
     }
-    m_bytes -= std::min(m_bytes, bytes);
     m_pending = !m_messages.empty() || !m_notices.empty();
     return true;
 }
@@ -111,9 +113,18 @@
     return m_messages.size() + m_notices.size();
 }
 
+bool outbox::isOversized(const scoped_message& value) const { return sizeOf(value) > m_maxBytes; }
+
+std::size_t outbox::countedBytes(const scoped_message& value) const { return isOversized(value) ? 0 : sizeOf(value); }
+
+std::uint64_t outbox::dropOversized()
+{
+    return std::erase_if(m_messages, [this](const scoped_message& each) { return isOversized(each); });
+}
+
 void outbox::dropOldestMessage()
 {
-    m_bytes -= sizeOf(m_messages.front());
+    m_bytes -= countedBytes(m_messages.front());
     m_messages.pop_front();
 }
 
--- a/chervilport/transport/detail/outbox.h
+++ b/chervilport/transport/detail/outbox.h
@@ -28,7 +28,9 @@
         bool wake = false;
     };
 
-    /// Adds an envelope. Beyond the bounds the oldest replication messages are dropped, then the oldest notices.
+    /// Adds an envelope. One message that is larger than the bound on bytes may wait besides the others and replaces an
+    /// earlier one of that kind, so that heartbeats do not displace a snapshot. Beyond the bounds the oldest
+    /// replication messages are dropped, then the oldest notices.
     push_result push(envelope);
 
     /// Takes the oldest content up to the given bytes, at least one message or notice. Returns false when there is
@@ -39,6 +41,9 @@
     std::size_t size() const;
 
 private:
+    bool isOversized(const scoped_message&) const;
+    std::size_t countedBytes(const scoped_message&) const;
+    std::uint64_t dropOversized();
     void dropOldestMessage();
     void dropOldestNotice();
 
--- a/chervilport/transport/transport_limits.h
+++ b/chervilport/transport/transport_limits.h
@@ -11,7 +11,7 @@
     std::size_t queuedMessages = 512;
     /// Notices that wait for one peer at most; the oldest is dropped first.
     std::size_t queuedNotices = 512;
-    /// Bytes that wait for one peer at most. The newest message or notice is kept even if it is larger on its own.
+    /// Bytes that wait for one peer at most, besides one message that is larger on its own, such as a snapshot.
     std::size_t queuedBytes = std::size_t { 4 } * 1024 * 1024;
     /// `deliver` calls to one peer without an answer at most; further envelopes wait in the queue.
     std::size_t unansweredDelivers = 8;
