--- a/chervilport/scheduling/decision_core.cpp
+++ b/chervilport/scheduling/decision_core.cpp
@@ -25,7 +25,10 @@
             state.reviewAt.reset();
         else if (!state.reviewAt)
             state.reviewAt = state.now + reviewInterval;
-        const auto next = nextDueTime(state);
+        auto next = nextDueTime(state);
+        // An observation of this event may have made a job hopeless already.
+        if (next)
+            next = std::max(*next, state.now);
         if (next && next != state.wakeAt)
             out.emplace_back(wake_at { *next });
         state.wakeAt = next;
--- a/chervilport/scheduling/quarantine.cpp
+++ b/chervilport/scheduling/quarantine.cpp
@@ -29,6 +29,10 @@
     constexpr log_duration firstProbe = std::chrono::minutes(5);
     constexpr log_duration longestProbe = std::chrono::hours(4);
 
+    /// Time for which a due probe waits for a suitable job. Then the worker returns to service on trial, because the
+    /// queue may hold only jobs that need it and are too large for a probe.
+    constexpr log_duration unprobedTime = std::chrono::hours(1);
+
     /// Largest probe: single tasks that are expected to take at most this long.
     constexpr log_duration probeRunTime = std::chrono::hours(1);
 
@@ -175,12 +179,32 @@
     state.workers[worker].probeJob = job.id;
 }
 
+bool returnUnprobed(schedule_state& state, std::vector<command>& out)
+{
+    auto changed = false;
+    for (auto& worker : state.workers) {
+        if (!worker.quarantined || worker.probeAt + unprobedTime > state.now || !worker.tasks.empty())
+            continue;
+        // The next failure is enough to put it back.
+        worker.evidence.resize(std::min(worker.evidence.size(), evidenceNeeded - 1));
+        worker.quarantined = false;
+        worker.probeJob = {};
+        out.emplace_back(worker_quarantine_changed { worker.name, false });
+        changed = true;
+    }
+    return changed;
+}
+
 std::optional<log_time> nextProbe(const schedule_state& state)
 {
     std::optional<log_time> next;
-    for (const auto& worker : state.workers)
-        if (worker.quarantined && worker.probeAt > state.now && (!next || worker.probeAt < *next))
-            next = worker.probeAt;
+    for (const auto& worker : state.workers) {
+        if (!worker.quarantined || !worker.tasks.empty())
+            continue;
+        const auto at = worker.probeAt > state.now ? worker.probeAt : worker.probeAt + unprobedTime;
+        if (!next || at < *next)
+            next = at;
+    }
     return next;
 }
 
--- a/chervilport/scheduling/quarantine.h
+++ b/chervilport/scheduling/quarantine.h
@@ -24,6 +24,9 @@
 /// Records that the job started as the worker's probe.
 void noteProbe(schedule_state&, const job_record&, std::int32_t worker);
 
+/// Puts workers whose probe found no suitable job for an hour back in service on trial. Returns whether there were any.
+bool returnUnprobed(schedule_state&, std::vector<command>&);
+
 /// Returns the time of the next probe that becomes possible, if any is to come.
 std::optional<log_time> nextProbe(const schedule_state&);
 
--- a/chervilport/scheduling/timers.cpp
+++ b/chervilport/scheduling/timers.cpp
@@ -116,6 +116,7 @@
         state.reviewAt.reset();
         changed = true;
     }
+    changed |= returnUnprobed(state, out);
     const auto probeDue = std::any_of(state.workers.begin(), state.workers.end(), [&](const worker_record& worker) {
         return worker.quarantined && worker.probeAt <= state.now && worker.tasks.empty();
     });
