--- a/tests/scheduling/policy_test.cpp
+++ b/tests/scheduling/policy_test.cpp
@@ -72,6 +72,7 @@
 {
     auto domain = makeDomain(1, 4);
     std::vector<job_id> small;
+    small.reserve(64);
     for (auto i = 0; i < 8; ++i)
         small.push_back(domain.submit(gangOf(4)));
     domain.confirmAll();
@@ -117,6 +118,7 @@
     spec.declaredRunTime = std::chrono::hours(10);
     const auto other = domain.submit(gangOf(12, adjacency::Rack));
     std::vector<job_id> movable;
+    movable.reserve(3);
     for (auto i = 0; i < 3; ++i)
         movable.push_back(domain.submit(spec));
     domain.confirmAll();
@@ -224,6 +226,7 @@
 {
     auto domain = makeDomain(2, 8);
     std::vector<job_id> jobs;
+    jobs.reserve(40);
     for (auto i = 0; i < 40; ++i)
         jobs.push_back(domain.submit(gangOf(1)));
     for (auto round = 0; round < 10; ++round) {
@@ -255,3 +258,47 @@
     domain.apply(usage_reported { "w0-0", { job, 1, 0 }, use, domain.now });
     cr_assert(domain.stateOf(job) == job_state::Stopping);
 }
+
+// Guards against a cancellation of half the queue that leaves capacity held, revives a job or stops the rest.
+Test(load, cancelWaveLeavesTheOtherHalf)
+{
+    auto domain = makeDomain(2, 2);
+    std::vector<job_id> jobs;
+    jobs.reserve(200);
+    for (auto i = 0; i < 200; ++i)
+        jobs.push_back(domain.submit(gangOf(1 + i % 6)));
+    domain.confirmAll();
+    for (std::size_t i = 0; i < jobs.size(); i += 2)
+        domain.apply(job_cancelled { jobs[i] });
+    domain.confirmAll();
+    for (auto round = 0; round < 200; ++round)
+        for (const auto job : jobs)
+            if (domain.stateOf(job) == job_state::Running) {
+                domain.finish(job);
+                domain.confirmAll();
+            }
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+        cr_assert(domain.stateOf(jobs[i]) == (i % 2 == 0 ? job_state::Cancelled : job_state::Succeeded));
+    cr_assert_eq(viewFleet(*domain.state).freeAccelerators, 32);
+}
+
+// Guards against a burst of small jobs that keeps large gangs out, and of large ones that keeps small ones out.
+Test(load, burstsOfBothSizesAreServed)
+{
+    auto domain = makeDomain(4, 2);
+    std::vector<job_id> jobs;
+    jobs.reserve(64);
+    for (auto i = 0; i < 60; ++i)
+        jobs.push_back(domain.submit(gangOf(1 + i % 3)));
+    for (auto i = 0; i < 4; ++i)
+        jobs.push_back(domain.submit(gangOf(32 + 8 * i, adjacency::AdjacentRacks)));
+    for (auto round = 0; round < 60; ++round) {
+        domain.confirmAll();
+        domain.advance(std::chrono::minutes(30));
+        for (const auto job : jobs)
+            if (domain.stateOf(job) == job_state::Running)
+                domain.finish(job);
+    }
+    for (const auto job : jobs)
+        cr_assert(domain.stateOf(job) == job_state::Succeeded);
+}
