Bound what a pressed job may cost others

Cause: a job close to its deadline could stop any borrower, whatever was lost. Change: it may cost at most half of its own work.

--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -37,18 +37,19 @@
     /// Lost work counts this many times against the wait of a job that is not urgent, because all others pay for it.
     constexpr std::int64_t lossFactor = 4;
 
-    /// Urgent jobs, and ones that are about to miss their deadline, take their guarantee at once; others as soon as
-    /// they have waited for longer than it costs.
+    /// Urgent jobs take their guarantee at once, ones that are about to miss their deadline if less is lost than half
+    /// of their own work, and others as soon as they have waited for longer than it costs.
     bool isWorthwhile(const schedule_state& state, const job_record& job, std::int64_t cost)
     {
         if (job.spec.jobClass == job_class::Urgent)
             return true;
         const auto remaining = remainingRunTime(state, job);
+        const auto size = std::max(1, gangAccelerators(job.spec));
         if (job.spec.deadline && state.now + remaining * 3 / 2 > *job.spec.deadline)
-            return true;
+            return cost <= seconds(remaining) * size / 2;
         constexpr log_duration grace = std::chrono::minutes(2);
         const auto waited = seconds(state.now - job.queuedAt + grace);
-        return cost * lossFactor <= waited * std::max(1, gangAccelerators(job.spec));
+        return cost * lossFactor <= waited * size;
     }
 
     /// Costs of all jobs that can make room; jobs that already stop cost nothing.
