Weigh the wait and the loss of large gangs threefold

Cause: large gangs were stopped by guarantees as readily as small jobs, and moves for them paid only when their victims lost less than one wait. Change: weight 3 on both.

--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -34,6 +34,9 @@
     /// Gangs of this many tasks find room only seldom and are not moved.
     constexpr std::int32_t largeGang = 32;
 
+    /// Weight of the wait and of the loss of a large gang.
+    constexpr std::int64_t largeGangWeight = 3;
+
     /// Lost work counts this many times against the wait of a job that is not urgent, because all others pay for it.
     constexpr std::int64_t lossFactor = 4;
 
@@ -204,7 +207,8 @@
     const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
         if (!other.spec.preemptible)
             return std::nullopt;
-        const auto cost = seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
+        const auto weight = other.spec.taskCount >= largeGang ? largeGangWeight : 1;
+        const auto cost = weight * seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
         if (other.spec.workspace == job.spec.workspace)
             return other.spec.jobClass > job.spec.jobClass ? std::optional(cost) : std::nullopt;
         if (!guaranteed.contains(other.id))
@@ -237,7 +241,8 @@
         return seconds(delay) * (1 + other.preemptions);
     };
     const auto plan = planReclaim(state, job, costOf);
-    if (!plan || plan->cost >= seconds(wait))
+    const auto weight = job.spec.taskCount >= largeGang ? largeGangWeight : 1;
+    if (!plan || plan->cost >= seconds(wait) * weight)
         return false;
     executeReclaim(state, job, *plan, "moved to make room for another job", out);
     return true;
