--- a/chervilport/requests/claim_codec.cpp
+++ b/chervilport/requests/claim_codec.cpp
@@ -104,22 +104,6 @@
     });
 }
 
-std::string encodeClaimReply(const claim_reply& reply)
-{
-    const auto response = reply.response ? toJson(*reply.response) : json();
-    return toCbor(json::array({ static_cast<int>(reply.verdict), response }));
-}
-
-claim_reply decodeClaimReply(std::string_view bytes)
-{
-    return fromCbor(bytes, [](const json& value) {
-        claim_reply reply { toEnumeration(value.at(0), claim_verdict::Granted, claim_verdict::Full), {} };
-        if (!value.at(1).is_null())
-            reply.response = toResponse(value.at(1));
-        return reply;
-    });
-}
-
 std::string encodeClaimState(const claim_state& state)
 {
     auto records = json::array();
--- a/chervilport/requests/claim_state.h
+++ b/chervilport/requests/claim_state.h
@@ -95,12 +95,6 @@
 /// Applies a step at its log time.
 claim_reply applyClaimStep(claim_state&, const claim_step&, log_time now);
 
-/// Encodes a reply for an instance that sent its step to the leader.
-std::string encodeClaimReply(const claim_reply&);
-
-/// Decodes a reply. Throws chervilport_error of kind StorageFailure if the bytes are not a whole reply.
-claim_reply decodeClaimReply(std::string_view bytes);
-
 /// Adds a claim of a snapshot.
 void restoreClaim(claim_state&, const claim_key&, claim_record);
 
--- a/tests/requests/claim_state_test.cpp
+++ b/tests/requests/claim_state_test.cpp
@@ -1,4 +1,5 @@
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/requests/claim_reply_codec.h"
 #include "chervilport/requests/claim_state.h"
 
 #include <criterion/criterion.h>
