--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: install build test format format-check lint bench-policy bench-requests clean
+.PHONY: install build demo test format format-check lint bench-policy bench-requests clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -13,6 +13,12 @@
 	cmake --preset release
 	cmake --build --preset release
 
+# One instance with stand-in workers and executors on the loopback address: a gang of 16 accelerators and one request.
+# Only this target needs the curl program.
+demo: build
+	@command -v curl >/dev/null || $(SUDO) apt-get install -y -q --no-install-recommends curl
+	scripts/demo.sh
+
 test: build
 	ctest --preset release
 
