Add config and upstream subcommands to the command line

Cause: operators could change the configuration and drain an upstream only by raw HTTP. Change: config show, put, prove, promote, history and status; upstream list and drain. A change takes an operation key, or generates one and prints it before the call, so that it can be resent after a lost answer. A conflict prints the version in trial and the keys that differ; a document that is not valid prints each problem with its line. The exit code is that of the error table. The call module can now return an error answer, because that answer holds these details. Figures: before 5 subcommands, after 13.

--- a/apps/chervilport/client_call.cpp
+++ b/apps/chervilport/client_call.cpp
@@ -24,18 +24,6 @@
 
     bool isBeforeSending(CURLcode code) { return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST; }
 
-    [[noreturn]] void throwAnswer(const client_answer& answer)
-    {
-        const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-        if (body.is_object()) {
-            const auto kind = errorKindFromName(body.value("error", ""));
-            if (kind)
-                throw chervilport_error(*kind, body.value("message", ""));
-        }
-        throw chervilport_error(
-            error_kind::Internal, "the instance answered with status " + std::to_string(answer.status));
-    }
-
     // Returns the code of the transfer; `answer` is whole only for CURLE_OK.
     CURLcode perform(
         const client_options& options, const client_call& call, const std::string& instance, client_answer& answer)
@@ -68,17 +56,14 @@
 
 } // namespace
 
-client_answer sendCall(const client_options& options, const client_call& call)
+client_answer exchange(const client_options& options, const client_call& call)
 {
     std::string reason = "no instance was given";
     for (const auto& instance : options.instances) {
         client_answer answer;
         const auto code = perform(options, call, instance, answer);
-        if (code == CURLE_OK) {
-            if (answer.status >= 400)
-                throwAnswer(answer);
+        if (code == CURLE_OK)
             return answer;
-        }
         reason = instance + ": " + curl_easy_strerror(code);
         // Only a call that was certainly not sent may go to another instance.
         if (!isBeforeSending(code))
@@ -87,6 +72,31 @@
     throw chervilport_error(error_kind::Unavailable, "no instance can be reached: " + reason);
 }
 
+client_answer sendCall(const client_options& options, const client_call& call)
+{
+    auto answer = exchange(options, call);
+    if (isErrorAnswer(answer))
+        throwErrorAnswer(answer);
+    return answer;
+}
+
+bool isErrorAnswer(const client_answer& answer)
+{
+    constexpr long firstErrorStatus = 400;
+    return answer.status >= firstErrorStatus;
+}
+
+void throwErrorAnswer(const client_answer& answer)
+{
+    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+    if (body.is_object()) {
+        const auto kind = errorKindFromName(body.value("error", ""));
+        if (kind)
+            throw chervilport_error(*kind, body.value("message", ""));
+    }
+    throw chervilport_error(error_kind::Internal, "the instance answered with status " + std::to_string(answer.status));
+}
+
 std::string escapeQuery(const std::string& text)
 {
     constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
--- a/apps/chervilport/client_call.h
+++ b/apps/chervilport/client_call.h
@@ -27,8 +27,17 @@
     std::string body;
 };
 
-/// Sends a call to the first instance that can be reached. Throws chervilport_error: of kind Unavailable when none can
-/// be, of the kind that the answer names when it is an error, and of kind OutcomeUnknown when the answer is cut off.
+/// Sends a call to the first instance that can be reached and returns its answer, also one that is an error. Throws
+/// chervilport_error: of kind Unavailable when none can be reached, of kind OutcomeUnknown when the answer is cut off.
+client_answer exchange(const client_options&, const client_call&);
+
+/// Returns whether the answer is an error.
+bool isErrorAnswer(const client_answer&);
+
+/// Throws chervilport_error of the kind that an error answer names.
+[[noreturn]] void throwErrorAnswer(const client_answer&);
+
+/// Like `exchange`, but throws an error answer.
 client_answer sendCall(const client_options&, const client_call&);
 
 /// Returns text in the form that a query needs.
--- /dev/null
+++ b/apps/chervilport/config_commands.cpp
@@ -0,0 +1,250 @@
+#include "apps/chervilport/config_commands.h"
+
+#include "apps/chervilport/argument_reader.h"
+#include "apps/chervilport/client_call.h"
+#include "apps/chervilport/client_options.h"
+#include "apps/chervilport/table_printer.h"
+#include "chervilport/core/chervilport_error.h"
+
+#include <array>
+#include <ctime>
+#include <getopt.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+
+namespace chervilport {
+
+namespace {
+
+    using nlohmann::json;
+
+    enum config_option : int {
+        Trial = 256,
+        ExpectedVersion,
+        Key,
+        Operator,
+        Hash,
+    };
+
+    const option changeOptions[] = {
+        { "expected-version", required_argument, nullptr, ExpectedVersion },
+        { "key", required_argument, nullptr, Key },
+        { "operator", required_argument, nullptr, Operator },
+        { "hash", required_argument, nullptr, Hash },
+        {},
+    };
+
+    // What the options of a change give.
+    struct config_change {
+        std::optional<std::uint64_t> expectedVersion;
+        std::string key;
+        std::string operatorName;
+        std::string hash;
+    };
+
+    // Returns 128 random bits as 32 hexadecimal digits.
+    std::string generateKey()
+    {
+        constexpr int words = 4;
+        constexpr int digitsPerWord = 8;
+        constexpr unsigned bitsPerDigit = 4;
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::random_device source;
+        std::string key;
+        for (int i = 0; i < words; ++i) {
+            auto word = source();
+            for (int j = 0; j < digitsPerWord; ++j) {
+                key += digits[word & 0xfU];
+                word >>= bitsPerDigit;
+            }
+        }
+        return key;
+    }
+
+    config_change readChange(int argc, char** argv, bool takesHash)
+    {
+        config_change change;
+        int chosen = 0;
+        while ((chosen = getopt_long(argc, argv, "", changeOptions, nullptr)) != -1) {
+            if (chosen == ExpectedVersion)
+                change.expectedVersion = readCount("--expected-version", optarg);
+            else if (chosen == Key)
+                change.key = optarg;
+            else if (chosen == Operator)
+                change.operatorName = optarg;
+            else if (chosen == Hash && takesHash)
+                change.hash = optarg;
+            else
+                failUsage("unknown option");
+        }
+        if (!change.expectedVersion)
+            failUsage("needs --expected-version");
+        if (takesHash && change.hash.empty())
+            failUsage("needs --hash");
+        return change;
+    }
+
+    // Prints what an error answer of a change holds besides its message.
+    void printRefusal(const json& answer)
+    {
+        // A reused key is refused before the version in trial is looked at, so that answer says nothing about it.
+        if (answer.contains("trial_version") && answer.value("error", "") != "key_reused")
+            std::cerr << "version in trial: " << answer["trial_version"] << ", hash "
+                      << cellText(answer.value("trial_hash", json())) << '\n';
+        std::vector<std::vector<std::string>> rows;
+        for (const auto& problem : answer.value("problems", json::array())) {
+            rows.push_back({ "line " + cellText(problem.at("line")), cellText(problem.at("key")),
+                "allowed: " + cellText(problem.at("allowed")) });
+        }
+        for (const auto& difference : answer.value("differences", json::array())) {
+            rows.push_back({ cellText(difference.at("key")), "in trial: " + cellText(difference.at("before")),
+                "submitted: " + cellText(difference.at("after")) });
+        }
+        printTable(std::cerr, rows);
+    }
+
+    // Sends a change. The key is printed before the call, so that it is known even when the answer is lost.
+    int sendChange(const client_options& options, config_change& change, client_call call)
+    {
+        if (change.key.empty()) {
+            change.key = generateKey();
+            std::cerr << "operation key: " << change.key << " (resend with --key after a lost answer)\n";
+        }
+        call.headers.push_back("Chervilport-Key: " + change.key);
+        if (!change.operatorName.empty())
+            call.headers.push_back("Chervilport-Operator: " + change.operatorName);
+        const auto answer = exchange(options, call);
+        const auto body = json::parse(answer.body, nullptr, false);
+        if (isErrorAnswer(answer)) {
+            if (options.json)
+                std::cout << answer.body << '\n';
+            else if (body.is_object())
+                printRefusal(body);
+            throwErrorAnswer(answer);
+        }
+        if (options.json) {
+            std::cout << answer.body << '\n';
+            return 0;
+        }
+        const std::vector<std::vector<std::string>> rows {
+            { "operation key", change.key },
+            { "version in trial", cellText(body.value("trial_version", json())) },
+            { "hash in trial", cellText(body.value("trial_hash", json())) },
+            { "version in production", cellText(body.value("production_version", json())) },
+        };
+        printTable(std::cout, rows);
+        return 0;
+    }
+
+    void refuseRest(int argc)
+    {
+        if (optind != argc)
+            failUsage("takes no arguments besides its options");
+    }
+
+    std::string formatTime(std::int64_t unixMs)
+    {
+        constexpr std::int64_t millisecondsPerSecond = 1'000;
+        const auto seconds = static_cast<std::time_t>(unixMs / millisecondsPerSecond);
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::array<char, sizeof "0000-00-00T00:00:00Z"> text {};
+        std::strftime(text.data(), text.size(), "%FT%TZ", &parts);
+        return text.data();
+    }
+
+} // namespace
+
+int showConfig(const client_options& options, int argc, char** argv)
+{
+    static const option longOptions[] = { { "trial", no_argument, nullptr, Trial }, {} };
+    std::string which = "production";
+    int chosen = 0;
+    while ((chosen = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
+        if (chosen != Trial)
+            failUsage("unknown option");
+        which = "trial";
+    }
+    refuseRest(argc);
+    const auto answer = json::parse(sendCall(options, { "GET", "/v1/config", {}, {} }).body);
+    const auto version = answer.value(which, json());
+    if (!version.is_object())
+        throw chervilport_error(error_kind::NotFound, "there is no document in " + which);
+    if (options.json)
+        std::cout << version.dump() << '\n';
+    else
+        std::cout << version.value("document", "");
+    return 0;
+}
+
+int putConfig(const client_options& options, int argc, char** argv)
+{
+    auto change = readChange(argc, argv, false);
+    if (optind + 1 != argc)
+        failUsage("needs exactly one file");
+    client_call call { "PUT", "/v1/config/trial", {}, readDocument(argv[optind]) };
+    call.headers.push_back("Chervilport-Expected-Version: " + std::to_string(*change.expectedVersion));
+    return sendChange(options, change, std::move(call));
+}
+
+int proveConfig(const client_options& options, int argc, char** argv)
+{
+    auto change = readChange(argc, argv, false);
+    refuseRest(argc);
+    const json body { { "version", *change.expectedVersion } };
+    return sendChange(options, change, { "POST", "/v1/config/prove", {}, body.dump() });
+}
+
+int promoteConfig(const client_options& options, int argc, char** argv)
+{
+    auto change = readChange(argc, argv, true);
+    refuseRest(argc);
+    const json body { { "version", *change.expectedVersion }, { "hash", change.hash } };
+    return sendChange(options, change, { "POST", "/v1/config/promote", {}, body.dump() });
+}
+
+int listConfigHistory(const client_options& options, int argc, char**)
+{
+    refuseArguments(argc);
+    const auto answer = json::parse(sendCall(options, { "GET", "/v1/config/history", {}, {} }).body);
+    if (options.json) {
+        std::cout << answer.dump() << '\n';
+        return 0;
+    }
+    std::vector<std::vector<std::string>> rows { { "TIME", "STEP", "VERSION", "HASH", "OPERATOR", "CHANGED KEYS" } };
+    for (const auto& change : answer.at("history")) {
+        rows.push_back({ formatTime(change.at("unix_ms").get<std::int64_t>()), cellText(change.at("step")),
+            cellText(change.at("version")), cellText(change.at("hash")), cellText(change.at("operator")),
+            std::to_string(change.at("differences").size()) });
+    }
+    printTable(std::cout, rows);
+    return 0;
+}
+
+int showConfigStatus(const client_options& options, int argc, char**)
+{
+    refuseArguments(argc);
+    auto answer = json::parse(sendCall(options, { "GET", "/v1/config", {}, {} }).body);
+    // The documents themselves belong to `config show`.
+    for (const char* const which : { "trial", "production" }) {
+        if (answer.at(which).is_object())
+            answer[which].erase("document");
+    }
+    if (options.json) {
+        std::cout << answer.dump() << '\n';
+        return 0;
+    }
+    std::vector<std::vector<std::string>> rows { { "PLACE", "VERSION", "HASH", "PROVEN" } };
+    for (const char* const which : { "trial", "production" }) {
+        const auto version = answer.at(which).is_object() ? answer[which] : json::object();
+        const bool isTrial = which == std::string_view("trial");
+        rows.push_back({ which, cellText(version.value("version", json())), cellText(version.value("hash", json())),
+            isTrial ? cellText(answer.at("trial_proven")) : "-" });
+    }
+    printTable(std::cout, rows);
+    return 0;
+}
+
+} // namespace chervilport
--- a/apps/chervilport/job_commands.cpp
+++ b/apps/chervilport/job_commands.cpp
@@ -1,15 +1,14 @@
 #include "apps/chervilport/job_commands.h"
 
+#include "apps/chervilport/argument_reader.h"
 #include "apps/chervilport/client_call.h"
 #include "apps/chervilport/client_options.h"
 #include "apps/chervilport/table_printer.h"
 #include "chervilport/core/chervilport_error.h"
 
 #include <chrono>
-#include <fstream>
 #include <getopt.h>
 #include <iostream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
@@ -25,11 +24,6 @@
     constexpr int exitJobFailed = 12;
     constexpr std::chrono::milliseconds pollInterval { 200 };
 
-    [[noreturn]] void failUsage(const std::string& message)
-    {
-        throw chervilport_error(error_kind::InvalidRequest, message);
-    }
-
     std::int64_t readNumber(const char* option, const char* text)
     {
         char* end = nullptr;
@@ -39,13 +33,6 @@
         return number;
     }
 
-    std::string textOf(const json& value)
-    {
-        if (value.is_string())
-            return value.get<std::string>();
-        return value.is_null() ? "-" : value.dump();
-    }
-
     bool isFinal(const std::string& state)
     {
         static const std::set<std::string, std::less<>> finalStates { "succeeded", "failed", "cancelled", "expired",
@@ -62,7 +49,7 @@
         std::vector<std::vector<std::string>> rows;
         for (const char* key : { "id", "workspace", "team", "kind", "class", "tasks", "placement", "state", "attempt",
                  "reason", "workers" })
-            rows.push_back({ key, textOf(job.value(key, json())) });
+            rows.push_back({ key, cellText(job.value(key, json())) });
         printTable(std::cout, rows);
     }
 
@@ -88,16 +75,6 @@
         return isFinal(state) && state != "succeeded" ? exitJobFailed : exitOk;
     }
 
-    std::string readFile(const char* path)
-    {
-        if (std::string_view(path) == "-")
-            return { std::istreambuf_iterator<char>(std::cin), {} };
-        std::ifstream stream(path);
-        if (!stream)
-            failUsage(std::string("cannot read ") + path);
-        return { std::istreambuf_iterator<char>(stream), {} };
-    }
-
     std::string onlyArgument(int argc, char** argv, const char* what)
     {
         if (optind + 1 != argc)
@@ -217,7 +194,7 @@
         if (chosen == Wait) {
             wait = true;
         } else if (chosen == File) {
-            body = json::parse(readFile(optarg), nullptr, false);
+            body = json::parse(readDocument(optarg), nullptr, false);
             if (!body.is_object())
                 failUsage("the file must hold one JSON object");
         } else {
@@ -272,7 +249,7 @@
     for (const auto& job : answer.at("jobs")) {
         std::vector<std::string> row;
         for (const char* key : { "id", "workspace", "kind", "class", "tasks", "state", "attempt" })
-            row.push_back(textOf(job.value(key, json())));
+            row.push_back(cellText(job.value(key, json())));
         rows.push_back(std::move(row));
     }
     printTable(std::cout, rows);
--- a/apps/chervilport/subcommand.cpp
+++ b/apps/chervilport/subcommand.cpp
@@ -1,7 +1,9 @@
 #include "apps/chervilport/subcommand.h"
 
+#include "apps/chervilport/config_commands.h"
 #include "apps/chervilport/job_commands.h"
 #include "apps/chervilport/status_commands.h"
+#include "apps/chervilport/upstream_commands.h"
 
 #include <array>
 #include <iostream>
@@ -31,11 +33,47 @@
       --wait                  wait for the end of the job
 )";
 
+    constexpr std::string_view showConfigDetails = R"(Options:
+      --trial                 the document in trial instead of the one in production
+)";
+
+    constexpr std::string_view putConfigDetails = R"(Options:
+      --expected-version N    version that is in trial now, 0 for none (required)
+      --key TEXT              operation key; a resend under the same key gets the first answer (generated and printed)
+      --operator NAME         name for the history (unknown)
+
+FILE is the TOML document; - for standard input. A conflict prints the version in trial and the keys that differ.
+)";
+
+    constexpr std::string_view proveConfigDetails = R"(Options:
+      --expected-version N    version in trial that is to be proven (required)
+      --key TEXT              operation key; a resend under the same key gets the first answer (generated and printed)
+      --operator NAME         name for the history (unknown)
+)";
+
+    constexpr std::string_view promoteConfigDetails = R"(Options:
+      --expected-version N    version in trial that is to go to production (required)
+      --hash HEX              hash of that version as put, prove or status print it (required)
+      --key TEXT              operation key; a resend under the same key gets the first answer (generated and printed)
+      --operator NAME         name for the history (unknown)
+)";
+
     constexpr auto subcommands = std::to_array<subcommand>({
         { "job", "submit", "[options]", "Submit a job.", submitDetails, submitJob },
         { "job", "show", "[--wait] ID", "Show a job, or wait for its end.", "", showJob },
         { "job", "list", "[--workspace NAME] [--failure-domain NAME]", "List the newest jobs.", "", listJobs },
         { "job", "cancel", "ID", "Cancel a job.", "", cancelJob },
+        { "config", "show", "[--trial]", "Print a configuration document.", showConfigDetails, showConfig },
+        { "config", "put", "--expected-version N [options] FILE", "Put a document into trial.", putConfigDetails,
+            putConfig },
+        { "config", "prove", "--expected-version N [options]", "Prove the document in trial as a whole.",
+            proveConfigDetails, proveConfig },
+        { "config", "promote", "--expected-version N --hash HEX [options]", "Put the proven document into production.",
+            promoteConfigDetails, promoteConfig },
+        { "config", "history", "", "List the accepted steps, newest first.", "", listConfigHistory },
+        { "config", "status", "", "Show the versions in trial and in production.", "", showConfigStatus },
+        { "upstream", "list", "", "List the executors that the instance knows.", "", listUpstreams },
+        { "upstream", "drain", "IP:PORT", "Give an executor no new requests.", "", drainUpstream },
         { "instance", "status", "", "Show the status of the instance that answers.", "", showStatus },
     });
 
