Add golden files of whole sessions

Cause: no test noticed a change of what callers and operators see on the wire. Change: session_recording records calls and answers against a real chervilportd and compares them with a file; times, incarnations and loopback addresses are replaced. CHERVILPORT_WRITE_GOLDEN=1 writes the files.

--- /dev/null
+++ b/tests/session/session_recording.cpp
@@ -0,0 +1,131 @@
+#include "tests/session/session_recording.h"
+
+#include "tests/session/session_cluster.h"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <sstream>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::size_t longestBody = 4'000;
+
+    // Members whose value is a time of this run.
+    bool isTime(const std::string& key)
+    {
+        return key.ends_with("_at_ms") || key == "forecast_end_ms" || key == "unix_ms";
+    }
+
+    // Replaces what must differ between two runs: times and incarnations, unless they are null, and addresses.
+    void normalize(nlohmann::ordered_json& value)
+    {
+        static const std::regex address(R"(127(\.\d+){3}:\d+)");
+        if (value.is_string())
+            value = std::regex_replace(value.get<std::string>(), address, "<address>");
+        if (!value.is_structured())
+            return;
+        for (auto& [key, member] : value.items()) {
+            if (member.is_number() && isTime(key))
+                member = "<time>";
+            else if (member.is_number() && key == "incarnation")
+                member = "<incarnation>";
+            else
+                normalize(member);
+        }
+    }
+
+    std::string sentText(const std::string& body)
+    {
+        return body.size() > longestBody ? "<" + std::to_string(body.size()) + " bytes>" : body;
+    }
+
+    // One member a line, so that a difference names the member.
+    std::string answerText(const std::string& body)
+    {
+        auto document = nlohmann::ordered_json::parse(body, nullptr, false);
+        if (document.is_discarded())
+            return body;
+        normalize(document);
+        return document.dump(2);
+    }
+
+    std::string goldenPath(const std::string& name)
+    {
+        return std::string(CHERVILPORT_SOURCE_DIR) + "/tests/session/golden/" + name + ".txt";
+    }
+
+    void compareLines(const std::string& path, const std::string& expected, const std::string& seen)
+    {
+        std::istringstream expectedLines(expected);
+        std::istringstream seenLines(seen);
+        for (int number = 1;; ++number) {
+            std::string expectedLine;
+            std::string seenLine;
+            const bool expectedMore = static_cast<bool>(std::getline(expectedLines, expectedLine));
+            const bool seenMore = static_cast<bool>(std::getline(seenLines, seenLine));
+            if (!expectedMore && !seenMore)
+                return;
+            cr_assert(expectedMore == seenMore && expectedLine == seenLine, "%s:%d\n  golden: %s\n  seen:   %s",
+                path.c_str(), number, expectedMore ? expectedLine.c_str() : "<end of file>",
+                seenMore ? seenLine.c_str() : "<end of session>");
+        }
+    }
+
+} // namespace
+
+session_recording::session_recording(std::string address)
+    : m_address(std::move(address))
+{
+}
+
+session_answer session_recording::call(const std::string& method, const std::string& target, const std::string& body,
+    const std::vector<std::string>& headers)
+{
+    const session_call sent { method, m_address, target, headers, body };
+    auto answer = sendSessionCall(sent);
+    record(sent, answer);
+    return answer;
+}
+
+void session_recording::waitFor(const std::string& target, const std::string& member, const std::string& value)
+{
+    const session_call sent { "GET", m_address, target, {}, {} };
+    session_answer answer;
+    waitUntil(target + " has " + member + " " + value, [&] {
+        answer = sendSessionCall(sent);
+        const auto document = answer.json();
+        return document.is_object() && document.value(member, "") == value;
+    });
+    record(sent, answer);
+}
+
+void session_recording::record(const session_call& sent, const session_answer& answer)
+{
+    m_text += sent.method + ' ' + sent.target + '\n';
+    for (const auto& header : sent.headers)
+        m_text += header + '\n';
+    if (!sent.body.empty())
+        m_text += sentText(sent.body) + '\n';
+    m_text += "-> " + std::to_string(answer.status) + '\n';
+    m_text += answerText(answer.body) + "\n\n";
+}
+
+void session_recording::compare(const std::string& name) const
+{
+    const auto path = goldenPath(name);
+    if (std::getenv("CHERVILPORT_WRITE_GOLDEN")) {
+        std::ofstream(path, std::ios::binary) << m_text;
+        return;
+    }
+    std::ifstream stream(path, std::ios::binary);
+    cr_assert(stream.good(), "%s cannot be read", path.c_str());
+    compareLines(path, { std::istreambuf_iterator<char>(stream), {} }, m_text);
+}
+
+} // namespace chervilport
