--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: bench-control bench-capacity install build test format format-check lint bench-policy bench-requests clean
+.PHONY: install build demo test format format-check lint bench-policy bench-requests bench-control bench-capacity clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -13,6 +13,10 @@
 	cmake --preset release
 	cmake --build --preset release
 
+# One instance with stand-in workers and executors on the loopback address: a gang of 16 accelerators and one request.
+demo: build
+	scripts/demo.sh
+
 test: build
 	ctest --preset release
 
@@ -40,10 +44,16 @@
 	cmake --build --preset release --target bench_requests
 	build/release/benchmarks/requests/bench_requests $(ARGS)
 
-bench-control: build
+# Three instances with synced disks on the loopback address: make bench-control ARGS="--seed 7"
+bench-control: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target bench-control
 	build/release/benchmarks/control/bench-control $(ARGS)
 
-bench-capacity: build
+# Slopes of control for docs/CAPACITY.md; takes about eight minutes.
+bench-capacity: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target bench-capacity
 	build/release/benchmarks/control/bench-capacity $(ARGS)
 
 clean:
--- a/benchmarks/control/bench-control.cpp
+++ b/benchmarks/control/bench-control.cpp
@@ -75,6 +75,7 @@
 
     std::atomic<int> done { 0 };
     std::vector<std::thread> callers;
+    callers.reserve(parallelCallers);
     const double start = nowSeconds();
     for (int caller = 0; caller < parallelCallers; ++caller) {
         callers.emplace_back([&] {
@@ -160,6 +161,7 @@
 void measureSpread(const session_cluster& cluster, nlohmann::json& result)
 {
     std::vector<double> times;
+    times.reserve(configurationRounds);
     for (int round = 0; round < configurationRounds; ++round)
         times.push_back(spreadOnce(cluster, static_cast<std::uint64_t>(round), round));
     result["configuration_spread_ms"] = quantile(times, 1);
