Keep slots where small changes of demand would move them; fix the test bed

Cause: a slot that moves between instances is unused until the next report of its new holder, and the demand of instances under an even load changes with every report. The test bed removed its folder while its processes still wrote to it, so that a later one could read old addresses (seen once: no record of the executor).

Change: the ledger keeps the weights of the last division while none has changed by more than 15 %. The test bed ends its processes before it removes the folder.

Test smallChangesMoveNoSlots.

--- a/benchmarks/requests/child_process.cpp
+++ b/benchmarks/requests/child_process.cpp
@@ -8,8 +8,6 @@
 #include <unistd.h>
 #include <utility>
 
-extern char** environ;
-
 namespace chervilport {
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
--- a/benchmarks/requests/test_bed.cpp
+++ b/benchmarks/requests/test_bed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -76,32 +77,42 @@
     writeFile(m_folder / "secret", "benchmark\n");
     writeFile(m_folder / "environment.toml", environment);
     const auto ports = findFreePorts(context, 2 * instances);
-    std::string list;
+    std::ostringstream list;
     for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i) {
         m_instances.push_back(addressOf(ports[2 * i]));
-        list += "  { id = " + std::to_string(i + 1) + ", failure_domain = \"local\", http = \"" + m_instances.back()
-            + "\", peer = \"" + addressOf(ports[2 * i + 1])
-            + "\", disk = true, domain_voter = true, fleet_voter = " + (i == 0 ? "true" : "false") + " },\n";
-    }
-    for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i) {
-        const auto name = "instance" + std::to_string(i + 1);
-        const auto file = m_folder / (name + ".toml");
-        writeFile(file,
-            "[instance]\nid = " + std::to_string(i + 1) + "\nfailure_domain = \"local\"\ndata_folder = \""
-                + (m_folder / name).string() + "\"\ninitial_environment = \"" + (m_folder / "environment.toml").string()
-                + "\"\nstop_grace_ms = 200\n[listen]\nhttp = \"" + m_instances[i] + "\"\npeer = \""
-                + addressOf(ports[2 * i + 1]) + "\"\n[log]\nfile = \"" + (m_folder / (name + ".log")).string()
-                + "\"\n[cluster]\nsecret_file = \"" + (m_folder / "secret").string() + "\"\ninstances = [\n" + list
-                + "]\n");
-        std::vector<std::string> arguments { "--config", file.string() };
-        if (i == 0)
-            arguments.insert(arguments.end(), { "--initialize", "cluster" });
-        m_instanceProcesses.emplace_back(instanceProgram, arguments);
+        list << "  { id = " << i + 1 << R"(, failure_domain = "local", http = ")" << m_instances.back()
+             << R"(", peer = ")" << addressOf(ports[2 * i + 1])
+             << R"(", disk = true, domain_voter = true, fleet_voter = )" << (i == 0 ? "true" : "false") << " },\n";
     }
+    for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i)
+        startInstance(i, addressOf(ports[2 * i + 1]), list.str());
+}
+
+void test_bed::startInstance(std::size_t index, const std::string& peerAddress, const std::string& list)
+{
+    const auto name = "instance" + std::to_string(index + 1);
+    const auto file = m_folder / (name + ".toml");
+    std::ofstream out(file);
+    out << "[instance]\nid = " << index + 1 << "\nfailure_domain = \"local\"\ndata_folder = " << m_folder / name
+        << "\ninitial_environment = " << m_folder / "environment.toml"
+        << "\nstop_grace_ms = 200\n"
+        << "[listen]\nhttp = \"" << m_instances[index] << "\"\npeer = \"" << peerAddress << "\"\n"
+        << "[log]\nfile = " << m_folder / (name + ".log") << "\n"
+        << "[cluster]\nsecret_file = " << m_folder / "secret"
+        << "\ninstances = [\n"
+        << list << "]\n";
+    out.close();
+    std::vector<std::string> arguments { "--config", file.string() };
+    if (index == 0)
+        arguments.insert(arguments.end(), { "--initialize", "cluster" });
+    m_instanceProcesses.emplace_back(instanceProgram, arguments);
 }
 
 test_bed::~test_bed()
 {
+    // A process that still writes would keep the folder, and the next test bed would read its old addresses.
+    m_instanceProcesses.clear();
+    m_executorProcesses.clear();
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
--- a/benchmarks/requests/test_bed.h
+++ b/benchmarks/requests/test_bed.h
@@ -39,6 +39,7 @@
     void pass(std::chrono::milliseconds);
 
 private:
+    void startInstance(std::size_t index, const std::string& peerAddress, const std::string& list);
     bool answers(const std::string& instance);
 
     asio::io_context& m_context;
--- a/chervilport/routing/slot_ledger.cpp
+++ b/chervilport/routing/slot_ledger.cpp
@@ -3,6 +3,7 @@
 #include "chervilport/routing/slot_division.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilport {
 
@@ -36,6 +37,28 @@
         return now < instance.heardAt + ledger.settings.term;
     }
 
+    // Returns the weights of the last division while all instances are the same and none has changed much.
+    std::vector<double> settleWeights(slot_ledger& ledger, const std::string& service,
+        const std::vector<std::string>& names, const std::vector<double>& wanted)
+    {
+        auto& last = ledger.weights[service];
+        std::vector<double> settled;
+        settled.reserve(names.size());
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            const auto known = last.find(names[i]);
+            if (known == last.end()
+                || std::abs(wanted[i] - known->second) > ledger.settings.weightTolerance * known->second)
+                break;
+            settled.push_back(known->second);
+        }
+        if (settled.size() == names.size() && last.size() == names.size())
+            return settled;
+        last.clear();
+        for (std::size_t i = 0; i < names.size(); ++i)
+            last[names[i]] = wanted[i];
+        return wanted;
+    }
+
     void divideService(slot_ledger& ledger, const std::string& service, const std::vector<std::string>& names)
     {
         std::vector<const ledger_executor*> executors;
@@ -59,6 +82,7 @@
             const auto part = totalDemand > 0 ? weight / totalDemand : even;
             weight = ledger.settings.evenPart * even + (1 - ledger.settings.evenPart) * part;
         }
+        weights = settleWeights(ledger, service, names, weights);
         const auto rows = divideSlots(slots, weights);
         for (std::size_t e = 0; e < executors.size(); ++e) {
             auto& targets = ledger.targets[executors[e]->id];
--- a/chervilport/routing/slot_ledger.h
+++ b/chervilport/routing/slot_ledger.h
@@ -55,6 +55,8 @@
     log_time predecessorEnds;
     /// Targets by executor and instance, as last divided.
     std::map<upstream_id, std::map<std::string, std::int32_t>> targets;
+    /// Weights by service and instance that the targets follow.
+    std::map<std::string, std::map<std::string, double>> weights;
     /// When the slots were last divided.
     std::optional<log_time> dividedAt;
 };
--- a/chervilport/routing/slot_share.h
+++ b/chervilport/routing/slot_share.h
@@ -56,7 +56,10 @@
     /// Part of the slots that is divided evenly whatever the demand, so that the first requests of an idle instance
     /// need not wait for a grant.
     double evenPart = 0.2;
-    /// Shortest time between two divisions of the slots, so that small changes of demand do not move slots about.
+    /// Largest relative change of the weights of all instances that does not move slots. A slot that moves is unused
+    /// from the report that returns it to the next report of its new holder.
+    double weightTolerance = 0.15;
+    /// Shortest time between two divisions of the slots.
     log_duration divisionPeriod = std::chrono::milliseconds(200);
 };
 
--- a/tests/routing/slot_share_test.cpp
+++ b/tests/routing/slot_share_test.cpp
@@ -175,6 +175,23 @@
     cr_assert_eq(run.usable(0) + run.usable(1) + run.usable(2), 32);
 }
 
+// Guards against slots that move with every small change of demand, and against a change that is ignored for good.
+Test(slotShares, smallChangesMoveNoSlots)
+{
+    domain_run run(2);
+    const auto settle = [&](std::int32_t demand) {
+        for (int i = 0; i < 3; ++i) {
+            run.exchange({ demand, 100 });
+            run.pass(300ms);
+        }
+        return run.usable(0);
+    };
+    cr_assert_eq(settle(100), 16);
+    cr_assert_eq(settle(112), 16);
+    cr_assert_eq(settle(95), 16);
+    cr_assert_geq(settle(200), 19);
+}
+
 // Guards against an isolated instance that uses its shares forever, and against its slots being lost for good.
 Test(slotShares, sharesOfIsolatedInstanceEndAndReturn)
 {
