--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: install build demo test format format-check lint bench-policy bench-requests clean
+.PHONY: install build demo test format format-check lint bench-policy bench-requests bench-control bench-capacity clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -14,9 +14,7 @@
 	cmake --build --preset release
 
 # One instance with stand-in workers and executors on the loopback address: a gang of 16 accelerators and one request.
-# Only this target needs the curl program.
 demo: build
-	@command -v curl >/dev/null || $(SUDO) apt-get install -y -q --no-install-recommends curl
 	scripts/demo.sh
 
 test: build
@@ -40,11 +38,23 @@
 	cmake --build --preset release --target bench_policy
 	build/release/benchmarks/policy/bench_policy $(ARGS)
 
-# Hosts and executors as processes on the loopback address: make bench-requests ARGS="--seed 7"
+# Instances and executors as processes on the loopback address: make bench-requests ARGS="--seed 7"
 bench-requests: install
 	cmake --preset release >/dev/null
 	cmake --build --preset release --target bench_requests
 	build/release/benchmarks/requests/bench_requests $(ARGS)
 
+# Three instances with synced disks on the loopback address: make bench-control ARGS="--seed 7"
+bench-control: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target bench-control
+	build/release/benchmarks/control/bench-control $(ARGS)
+
+# Slopes of control for docs/CAPACITY.md; takes about eight minutes.
+bench-capacity: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target bench-capacity
+	build/release/benchmarks/control/bench-capacity $(ARGS)
+
 clean:
 	rm -rf build
--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -34,21 +34,25 @@
     /// Gangs of this many tasks find room only seldom and are not moved.
     constexpr std::int32_t largeGang = 32;
 
+    /// Weight of the wait and of the loss of a large gang.
+    constexpr std::int64_t largeGangWeight = 3;
+
     /// Lost work counts this many times against the wait of a job that is not urgent, because all others pay for it.
     constexpr std::int64_t lossFactor = 4;
 
-    /// Urgent jobs, and ones that are about to miss their deadline, take their guarantee at once; others as soon as
-    /// they have waited for longer than it costs.
+    /// Urgent jobs take their guarantee at once, ones that are about to miss their deadline if less is lost than half
+    /// of their own work, and others as soon as they have waited for longer than it costs.
     bool isWorthwhile(const schedule_state& state, const job_record& job, std::int64_t cost)
     {
         if (job.spec.jobClass == job_class::Urgent)
             return true;
         const auto remaining = remainingRunTime(state, job);
+        const auto size = std::max(1, gangAccelerators(job.spec));
         if (job.spec.deadline && state.now + remaining * 3 / 2 > *job.spec.deadline)
-            return true;
+            return cost <= seconds(remaining) * size / 2;
         constexpr log_duration grace = std::chrono::minutes(2);
         const auto waited = seconds(state.now - job.queuedAt + grace);
-        return cost * lossFactor <= waited * std::max(1, gangAccelerators(job.spec));
+        return cost * lossFactor <= waited * size;
     }
 
     /// Costs of all jobs that can make room; jobs that already stop cost nothing.
@@ -203,7 +207,8 @@
     const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
         if (!other.spec.preemptible)
             return std::nullopt;
-        const auto cost = seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
+        const auto weight = other.spec.taskCount >= largeGang ? largeGangWeight : 1;
+        const auto cost = weight * seconds(expectedLoss(state, other)) * std::max(1, gangAccelerators(other.spec));
         if (other.spec.workspace == job.spec.workspace)
             return other.spec.jobClass > job.spec.jobClass ? std::optional(cost) : std::nullopt;
         if (!guaranteed.contains(other.id))
@@ -236,7 +241,8 @@
         return seconds(delay) * (1 + other.preemptions);
     };
     const auto plan = planReclaim(state, job, costOf);
-    if (!plan || plan->cost >= seconds(wait))
+    const auto weight = job.spec.taskCount >= largeGang ? largeGangWeight : 1;
+    if (!plan || plan->cost >= seconds(wait) * weight)
         return false;
     executeReclaim(state, job, *plan, "moved to make room for another job", out);
     return true;
