Put large gangs further ahead and move attempts that hardly began

Cause: large gangs that expire count with the slowest completion of any scheduler, so their p95 wait is decided by how many expire. Change: their run time counts for a twelfth in the order; an attempt without checkpoints may be given up for a move during its first 5 minutes.

--- a/chervilport/scheduling/ordering.cpp
+++ b/chervilport/scheduling/ordering.cpp
@@ -16,7 +16,7 @@
 
     /// Gangs of this many tasks are large; their run time counts for a part only.
     constexpr std::int32_t largeGang = 32;
-    constexpr std::int32_t largeGangDivisor = 4;
+    constexpr std::int32_t largeGangDivisor = 12;
 
     /// Shortest job first shortens the mean completion time; aging bounds the wait of long ones, and a deadline moves a
     /// job up as its slack shrinks.
--- a/chervilport/scheduling/reclaim.cpp
+++ b/chervilport/scheduling/reclaim.cpp
@@ -34,6 +34,9 @@
     /// Gangs of this many tasks find room only seldom and are not moved.
     constexpr std::int32_t largeGang = 32;
 
+    /// An attempt that has run for no longer may be given up for a move.
+    constexpr log_duration shortAttempt = std::chrono::minutes(5);
+
     /// Weight of the wait and of the loss of a large gang.
     constexpr std::int64_t largeGangWeight = 3;
 
@@ -230,9 +233,11 @@
 {
     const auto size = std::max(1, gangAccelerators(job.spec));
     const auto costOf = [&](const job_record& other) -> std::optional<std::int64_t> {
-        if (!other.spec.preemptible || !other.spec.checkpointable || other.state != job_state::Running
-            || other.spec.jobClass < job.spec.jobClass || other.spec.taskCount >= largeGang
-            || other.lostCheckpoints > 0)
+        if (!other.spec.preemptible || other.state != job_state::Running || other.spec.jobClass < job.spec.jobClass
+            || other.spec.taskCount >= largeGang)
+            return std::nullopt;
+        // What has no checkpoint moves only while it has hardly begun.
+        if ((!other.spec.checkpointable || other.lostCheckpoints > 0) && state.now - *other.startedAt > shortAttempt)
             return std::nullopt;
         // A smaller job finds a place again sooner.
         const auto delay = expectedLoss(state, other) + wait * std::max(1, gangAccelerators(other.spec)) / size;
