--- a/tests/scheduling/policy_test.cpp
+++ b/tests/scheduling/policy_test.cpp
@@ -97,6 +97,8 @@
     auto domain = makeDomain(1, 2);
     const auto busy = domain.submit(gangOf(8, adjacency::Worker));
     domain.confirmAll();
+    // An attempt that has hardly begun would be moved instead of waited for.
+    domain.advance(std::chrono::minutes(6));
     const auto large = domain.submit(gangOf(16, adjacency::Rack));
     auto brief = gangOf(4);
     brief.declaredRunTime = std::chrono::minutes(1);
