--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -26,7 +26,7 @@
 constexpr std::int32_t largeSite = 100;
 
 struct arguments {
-    std::vector<std::uint64_t> seeds { 1, 2 };
+    std::vector<std::uint64_t> seeds { 1, 2, 3 };
     std::vector<std::int32_t> loads { 700, 900, 1100 };
     std::vector<std::string> schedulers = schedulerNames();
     std::string profile;
