--- a/chervilport/instance/data_plane.cpp
+++ b/chervilport/instance/data_plane.cpp
@@ -26,9 +26,10 @@
     constexpr std::chrono::milliseconds pollInterval { 20 };
     // Without waiting requests a report every 2 s renews shares of 10 s often enough and costs little.
     constexpr log_duration idleReportInterval = std::chrono::seconds(2);
-    constexpr log_duration busyReportInterval = std::chrono::milliseconds(100);
+    constexpr log_duration busyReportInterval = std::chrono::milliseconds(50);
     // A change of an upstream is sent three times, so that two lost notices still leave it obeyed within 2 s.
     constexpr log_duration changeRepeatInterval = std::chrono::milliseconds(500);
+    constexpr log_duration ownerLostPatience = std::chrono::seconds(10);
     constexpr int changeRepeats = 3;
     constexpr int renewalsPerExpiry = 4;
     constexpr int reportsPerExpiry = 3;
@@ -76,6 +77,7 @@
 
     request_settings pipelineSettings() const;
     request_ports pipelinePorts();
+    void endEarlierLives();
     void scheduleTick();
     void tick();
     void reportShares(log_time now);
@@ -220,6 +222,7 @@
 {
     request_settings pipelineValues;
     pipelineValues.access = access;
+    pipelineValues.queue.largestLength = values.maxQueuedRequests;
     pipelineValues.owner = { instanceName(values.instanceId), incarnation };
     return pipelineValues;
 }
@@ -247,6 +250,18 @@
     return ports;
 }
 
+void data_plane::implementation::endEarlierLives()
+{
+    // Requests that an earlier life of this instance was running have no one left to end their claims.
+    claim_step step;
+    step.kind = claim_step_kind::OwnerLost;
+    step.owner = { instanceName(values.instanceId), incarnation };
+    hooks.claims.submit(step, ownerLostPatience, [this](const claim_store_reply& reply) {
+        if (!reply.reply)
+            endEarlierLives();
+    });
+}
+
 void data_plane::implementation::scheduleTick()
 {
     timer.expires_after(pollInterval);
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -38,6 +38,7 @@
     constexpr std::chrono::milliseconds longestDeadline { 3'600'000 };
     constexpr std::chrono::milliseconds workerCallTimeout { 2'000 };
     constexpr std::chrono::milliseconds idleGrace { 200 };
+    constexpr std::chrono::milliseconds idlePollInterval { 20 };
     constexpr std::chrono::milliseconds leadershipTransferTime { 2'000 };
 
     http_listener_settings listenerSettings(const settings& values)
@@ -77,6 +78,7 @@
         : values(given)
         , signals(context, SIGTERM, SIGINT)
         , stopTimer(context)
+        , idleTimer(context)
         , client(context)
         , access(readTokens(values.tokenFile))
         , control(values, metrics, controlHooks())
@@ -97,12 +99,14 @@
     void announceAddress() const;
     void beginStop();
     void finishRequests();
+    void endWhenIdle();
     void end();
 
     settings values;
     asio::io_context context { 1 };
     asio::signal_set signals;
     asio::steady_timer stopTimer;
+    asio::steady_timer idleTimer;
     http_client client;
     access_policy access;
     metric_registry metrics;
@@ -297,12 +301,27 @@
         logWarning(part, "planned stop: time is up, " + std::to_string(data.inFlight()) + " requests end unfinished");
         end();
     });
-    listener.stop(idleGrace, [this] { end(); });
+    listener.stop(idleGrace, [this] { endWhenIdle(); });
+}
+
+void instance::implementation::endWhenIdle()
+{
+    // The ends of claims may still be on their way to the log after the last answer.
+    if (data.inFlight() == 0) {
+        end();
+        return;
+    }
+    idleTimer.expires_after(idlePollInterval);
+    idleTimer.async_wait([this](const std::error_code& error) {
+        if (!error)
+            endWhenIdle();
+    });
 }
 
 void instance::implementation::end()
 {
     stopTimer.cancel();
+    idleTimer.cancel();
     data.stop();
     context.stop();
 }
--- a/chervilport/instance/replica_group.cpp
+++ b/chervilport/instance/replica_group.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-    // A snapshot is taken when the log since the last one has grown past either bound.
+    // A snapshot is taken when the log since the last one has grown past either bound, and is at least as large as that
+    // snapshot, so that a large state is not written again after every few commands.
     constexpr std::uint64_t entriesBetweenSnapshots = 1'000;
     constexpr std::size_t bytesBetweenSnapshots = std::size_t { 4 } << 20;
     constexpr int ticksPerHeartbeat = 4;
@@ -91,7 +92,6 @@
         callback(proposal_result::NotCommitted);
         return;
     }
-    m_bytesSinceSnapshot += payload.size();
     replica_output output;
     std::vector<std::string> payloads;
     payloads.push_back(std::move(payload));
@@ -257,11 +257,13 @@
 void replica_group::compactIfDue()
 {
     const auto grown = m_appliedIndex - m_compactedIndex;
-    if (grown < entriesBetweenSnapshots && (m_bytesSinceSnapshot < bytesBetweenSnapshots || !grown))
+    const bool enough = grown >= entriesBetweenSnapshots || m_bytesSinceSnapshot >= bytesBetweenSnapshots;
+    if (!grown || !enough || m_bytesSinceSnapshot < m_snapshotBytes)
         return;
     const auto taken = compact(*m_replica, m_appliedIndex, m_hooks.takeSnapshot());
     m_compactedIndex = m_appliedIndex;
     m_bytesSinceSnapshot = 0;
+    m_snapshotBytes = taken.data.size();
     try {
         m_storage.saveSnapshot(taken);
     } catch (const chervilport_error& error) {
--- a/chervilport/instance/replica_group.h
+++ b/chervilport/instance/replica_group.h
@@ -114,6 +114,7 @@
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_compactedIndex = 0;
     std::size_t m_bytesSinceSnapshot = 0;
+    std::size_t m_snapshotBytes = 0;
     bool m_processing = false;
     bool m_failed = false;
     bool m_stopped = false;
