Keep an executor drained whatever it announces later

Cause: a drain spread as the state 'leaving' under the executor's own sequence number, so that its next 'ready' announcement undid it on other instances. Change: drains travel as ids of lives beside the announcements and are repeated with the renewals, so that an instance that missed one or starts later learns it. Conclusion: an operator's drain ends only with the life of the executor.

--- a/chervilport/instance/data_plane.cpp
+++ b/chervilport/instance/data_plane.cpp
@@ -82,6 +82,7 @@
     void tick();
     void reportShares(log_time now);
     void spreadAnnouncements(log_time now);
+    void drain(const upstream_id&);
     void merge(const upstream_announcement&, bool fromUpstream);
     void answerReport(std::uint64_t instance, const share_report&);
     void updateLedgerExecutors();
@@ -142,6 +143,8 @@
     if (const auto* const batch = std::get_if<announcement_batch>(&notice)) {
         for (const auto& announcement : batch->announcements)
             self.merge(announcement, false);
+        for (const auto& id : batch->drained)
+            self.drain(id);
     } else if (const auto* const report = std::get_if<share_report>(&notice)) {
         self.answerReport(instance, *report);
     } else if (applyGrant(self.routing.slots, std::get<share_grant>(notice))) {
@@ -190,13 +193,12 @@
 bool data_plane::drainUpstream(std::string_view address)
 {
     auto& self = *m_implementation;
-    if (!chervilport::drainUpstream(self.routing.registry, address))
+    const auto entry = self.routing.registry.entries.find(address);
+    if (entry == self.routing.registry.entries.end())
         return false;
-    // For the other instances a drained upstream is one that says that it is leaving.
-    auto announcement = self.routing.registry.entries.find(address)->second.announcement;
-    announcement.state = upstream_state::Leaving;
-    self.hooks.notifyDomain(announcement_batch { { announcement } });
-    self.updateLedgerExecutors();
+    self.drain(entry->second.announcement.id);
+    // The renewals repeat it, so that an instance that misses this notice or starts later learns of it.
+    self.hooks.notifyDomain(announcement_batch { {}, { entry->second.announcement.id } });
     return true;
 }
 
@@ -313,11 +315,27 @@
         for (const auto& address : renewed)
             add(address);
         renewed.clear();
+        for (const auto& [address, entry] : routing.registry.entries) {
+            if (entry.isDrained)
+                batch.drained.push_back(entry.announcement.id);
+        }
     }
-    if (!batch.announcements.empty())
+    if (!batch.announcements.empty() || !batch.drained.empty())
         hooks.notifyDomain(batch);
 }
 
+void data_plane::implementation::drain(const upstream_id& id)
+{
+    const auto entry = routing.registry.entries.find(id.address);
+    const bool isCurrent = entry != routing.registry.entries.end() && entry->second.announcement.id == id;
+    if (!isCurrent || entry->second.isDrained)
+        return;
+    chervilport::drainUpstream(routing.registry, id.address);
+    logInfo(part, "executor " + id.address + " is drained");
+    updateLedgerExecutors();
+    reportShares(monotonicNow());
+}
+
 void data_plane::implementation::merge(const upstream_announcement& announcement, bool fromUpstream)
 {
     const auto now = monotonicNow();
--- a/chervilport/instance/routing_notice.cpp
+++ b/chervilport/instance/routing_notice.cpp
@@ -53,7 +53,10 @@
         auto list = json::array();
         for (const auto& announcement : batch.announcements)
             list.push_back(toJson(announcement));
-        const auto bytes = json::to_cbor(list);
+        auto drained = json::array();
+        for (const auto& id : batch.drained)
+            drained.push_back(json::array({ id.address, id.incarnation }));
+        const auto bytes = json::to_cbor(json::array({ std::move(list), std::move(drained) }));
         return withKind(notice_kind::Announcements, { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
     }
 
@@ -64,8 +67,11 @@
     announcement_batch decodeBatch(std::string_view content)
     {
         announcement_batch batch;
-        for (const auto& item : json::from_cbor(content))
+        const auto document = json::from_cbor(content);
+        for (const auto& item : document.at(0))
             batch.announcements.push_back(toAnnouncement(item));
+        for (const auto& item : document.at(1))
+            batch.drained.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>() });
         return batch;
     }
 
--- a/chervilport/instance/routing_notice.h
+++ b/chervilport/instance/routing_notice.h
@@ -14,6 +14,8 @@
 struct announcement_batch {
     /// The announcements; of equal ids the newest counts.
     std::vector<upstream_announcement> announcements;
+    /// Lives of executors that an operator has drained; they stay drained whatever they announce.
+    std::vector<upstream_id> drained;
 };
 
 /// A notice between instances of a domain about routing.
