Give max_header_bytes its effect and drop initial_environment

Cause: both settings were read and had no effect. Change: max_header_bytes bounds the target and each header value of a request; initial_environment is gone, because a first document is put, proven and promoted like every other one, and unknown keys are refused.

--- a/benchmarks/requests/test_bed.cpp
+++ b/benchmarks/requests/test_bed.cpp
@@ -19,31 +19,6 @@
     /// Three periods of the reports on demand.
     constexpr std::chrono::milliseconds settleTime { 1'500 };
 
-    const std::string environment = R"([environment]
-name = "benchmark"
-failure_domains = ["local"]
-
-[[workspace]]
-name = "bus"
-[[workspace.domain]]
-name = "local"
-
-[[workspace]]
-name = "ferry"
-[[workspace.domain]]
-name = "local"
-
-[[workspace]]
-name = "rail"
-[[workspace.domain]]
-name = "local"
-
-[[workspace]]
-name = "tram"
-[[workspace.domain]]
-name = "local"
-)";
-
     void writeFile(const std::filesystem::path& file, const std::string& content) { std::ofstream(file) << content; }
 
     std::string addressOf(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
@@ -75,7 +50,6 @@
 {
     std::filesystem::create_directories(m_folder);
     writeFile(m_folder / "secret", "benchmark\n");
-    writeFile(m_folder / "environment.toml", environment);
     const auto ports = findFreePorts(context, 2 * instances);
     std::ostringstream list;
     for (std::size_t i = 0; i < static_cast<std::size_t>(instances); ++i) {
@@ -94,7 +68,6 @@
     const auto file = m_folder / (name + ".toml");
     std::ofstream out(file);
     out << "[instance]\nid = " << index + 1 << "\nfailure_domain = \"local\"\ndata_folder = " << m_folder / name
-        << "\ninitial_environment = " << m_folder / "environment.toml"
         << "\nstop_grace_ms = 200\n"
         << "[listen]\nhttp = \"" << m_instances[index] << "\"\npeer = \"" << peerAddress << "\"\n"
         << "[log]\nfile = " << m_folder / (name + ".log") << "\n"
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -47,6 +47,8 @@
         const auto address = splitAddress(values.httpListen);
         listener.address = address.ip;
         listener.port = address.port;
+        listener.maxTargetBytes = values.maxHeaderBytes;
+        listener.maxHeaderValueBytes = values.maxHeaderBytes;
         listener.maxBodyBytes = values.maxBodyBytes;
         listener.maxConnections = values.maxConnections;
         return listener;
--- a/chervilport/settings/settings.h
+++ b/chervilport/settings/settings.h
@@ -44,13 +44,9 @@
     /// Whether a listener without tokens may bind to an address other than loopback.
     bool allowOpenListener = false;
 
-    /// Environment document that is the production configuration until another one is promoted; empty for the built-in
-    /// one.
-    std::string initialEnvironment;
-
     /// Largest request body, in bytes.
     std::size_t maxBodyBytes = std::size_t { 1 } << 20;
-    /// Largest request header block, in bytes.
+    /// Longest target and longest value of one header field of a request, in bytes.
     std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
     /// Connections accepted at once by the HTTP listener.
     std::size_t maxConnections = 2'000;
--- a/chervilport/settings/settings_reader.cpp
+++ b/chervilport/settings/settings_reader.cpp
@@ -85,7 +85,6 @@
         instance.read("failure_domain", values.failureDomain);
         instance.read("data_folder", values.dataFolder);
         instance.read("address_file", values.addressFile);
-        instance.read("initial_environment", values.initialEnvironment);
         instance.read("stop_grace_ms", values.stopGrace, 0, millisecondsInHour);
         instance.read("stop_timeout_ms", values.stopTimeout, 0, millisecondsInHour);
         instance.refuseUnknownKeys();
