--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	| awk '$$2=="installed"{print $$1}' | sort | comm -13 - packages.txt | tr '\n' ' ')
 SOURCES := git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/generated/'
 
-.PHONY: install build demo test format format-check lint bench-policy bench-requests bench-control bench-capacity clean
+.PHONY: install build demo test format format-check lint bench-policy bench-requests bench-control bench-capacity capacity-plot clean
 
 install:
 	@if [ -n "$(strip $(MISSING))" ]; then $(SUDO) apt-get update -q && $(SUDO) apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -56,5 +56,9 @@
 	cmake --build --preset release --target bench-capacity
 	build/release/benchmarks/control/bench-capacity $(ARGS)
 
+# Draws docs/capacity.svg from the last run of bench-capacity.
+capacity-plot: install
+	gnuplot -e "table='build/bench/capacity.json.tsv'" benchmarks/control/plot_capacity.gp
+
 clean:
 	rm -rf build
--- a/benchmarks/control/bench-capacity.cpp
+++ b/benchmarks/control/bench-capacity.cpp
@@ -3,10 +3,12 @@
 
 #include "benchmarks/control/control_probe.h"
 
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -164,6 +166,53 @@
     }
 }
 
+constexpr std::array<const char*, 6> measures { "core_share", "resident_bytes", "peer_bytes_per_s",
+    "peer_messages_per_s", "http_bytes_per_s", "http_messages_per_s" };
+
+// Returns slope and value at zero of the least-squares line of a measure for each variable and role.
+nlohmann::json slopesOf(const nlohmann::json& rows)
+{
+    std::map<std::pair<std::string, std::string>, std::vector<nlohmann::json>> series;
+    for (const auto& row : rows)
+        series[{ row["variable"].get<std::string>(), row["role"].get<std::string>() }].push_back(row);
+    auto slopes = nlohmann::json::array();
+    for (const auto& [key, points] : series) {
+        nlohmann::json slope { { "variable", key.first }, { "role", key.second }, { "points", points.size() } };
+        for (const char* const measure : measures) {
+            double sumX = 0;
+            double sumY = 0;
+            double sumXX = 0;
+            double sumXY = 0;
+            for (const auto& point : points) {
+                const double x = point["value"].get<double>();
+                const double y = point[measure].get<double>();
+                sumX += x;
+                sumY += y;
+                sumXX += x * x;
+                sumXY += x * y;
+            }
+            const auto count = static_cast<double>(points.size());
+            const double spread = count * sumXX - sumX * sumX;
+            const double gradient = spread > 0 ? (count * sumXY - sumX * sumY) / spread : 0;
+            slope[measure] = { { "slope", gradient }, { "at_zero", (sumY - gradient * sumX) / count } };
+        }
+        slopes.push_back(std::move(slope));
+    }
+    return slopes;
+}
+
+// Writes one line a row for the plot.
+void writeTable(const nlohmann::json& rows, const std::string& path)
+{
+    std::ofstream out(path);
+    for (const auto& row : rows) {
+        out << row["variable"].get<std::string>() << '\t' << row["role"].get<std::string>() << '\t' << row["value"];
+        for (const char* const measure : measures)
+            out << '\t' << row[measure];
+        out << '\n';
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -190,6 +239,7 @@
             measure(rows);
     }
     std::filesystem::create_directories(std::filesystem::path(output).parent_path());
-    std::ofstream(output) << rows.dump(1) << '\n';
+    std::ofstream(output) << nlohmann::json { { "rows", rows }, { "slopes", slopesOf(rows) } }.dump(1) << '\n';
+    writeTable(rows, output + ".tsv");
     return 0;
 }
