End the claims of an instance's earlier life at its restart

A resend after a kill and restart was told 'still running' until the deadline and 10 s more. Change: each process has its own life; it submits OwnerLost at its start. One codec for stored responses. Conclusion: a caller learns the truth about its request at once.

--- a/chervilport/instance/data_plane.cpp
+++ b/chervilport/instance/data_plane.cpp
@@ -59,10 +59,10 @@
 } // namespace
 
 struct data_plane::implementation {
-    implementation(asio::io_context& context, const settings& givenSettings, std::uint64_t givenIncarnation,
+    implementation(asio::io_context& context, const settings& givenSettings, std::uint64_t givenLife,
         http_client& givenClient, metric_registry& givenMetrics, data_plane_hooks givenHooks)
         : values(givenSettings)
-        , incarnation(givenIncarnation)
+        , life(givenLife)
         , client(givenClient)
         , metrics(givenMetrics)
         , hooks(std::move(givenHooks))
@@ -71,7 +71,7 @@
     {
         routing.registry.settings.expiry = values.announcementExpiry;
         routing.slots.instance = instanceName(values.instanceId);
-        routing.slots.incarnation = incarnation;
+        routing.slots.incarnation = life;
         pipeline = std::make_shared<request_pipeline>(pipelineSettings(), routing, pipelinePorts());
     }
 
@@ -89,7 +89,7 @@
     std::set<std::string> domainInstances() const;
 
     settings values;
-    std::uint64_t incarnation;
+    std::uint64_t life;
     http_client& client;
     metric_registry& metrics;
     data_plane_hooks hooks;
@@ -106,16 +106,19 @@
     log_time nextRenewal;
 };
 
-data_plane::data_plane(asio::io_context& context, const settings& values, std::uint64_t incarnation,
-    http_client& client, metric_registry& metrics, data_plane_hooks hooks)
-    : m_implementation(
-        std::make_unique<implementation>(context, values, incarnation, client, metrics, std::move(hooks)))
+data_plane::data_plane(asio::io_context& context, const settings& values, std::uint64_t life, http_client& client,
+    metric_registry& metrics, data_plane_hooks hooks)
+    : m_implementation(std::make_unique<implementation>(context, values, life, client, metrics, std::move(hooks)))
 {
 }
 
 data_plane::~data_plane() = default;
 
-void data_plane::start() { m_implementation->scheduleTick(); }
+void data_plane::start()
+{
+    m_implementation->endEarlierLives();
+    m_implementation->scheduleTick();
+}
 
 void data_plane::stop() { m_implementation->timer.cancel(); }
 
@@ -225,7 +228,7 @@
     request_settings pipelineValues;
     pipelineValues.access = access;
     pipelineValues.queue.largestLength = values.maxQueuedRequests;
-    pipelineValues.owner = { instanceName(values.instanceId), incarnation };
+    pipelineValues.owner = { instanceName(values.instanceId), life };
     return pipelineValues;
 }
 
@@ -257,7 +260,7 @@
     // Requests that an earlier life of this instance was running have no one left to end their claims.
     claim_step step;
     step.kind = claim_step_kind::OwnerLost;
-    step.owner = { instanceName(values.instanceId), incarnation };
+    step.owner = { instanceName(values.instanceId), life };
     hooks.claims.submit(step, ownerLostPatience, [this](const claim_store_reply& reply) {
         if (!reply.reply)
             endEarlierLives();
--- a/chervilport/instance/instance.cpp
+++ b/chervilport/instance/instance.cpp
@@ -8,6 +8,7 @@
 #include "chervilport/instance/control_plane.h"
 #include "chervilport/instance/data_plane.h"
 #include "chervilport/instance/message_size.h"
+#include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/read_tokens.h"
 #include "chervilport/instance/routing_notice.h"
 #include "chervilport/instance/split_address.h"
@@ -68,6 +69,10 @@
         return std::chrono::milliseconds(milliseconds);
     }
 
+    // An instance with a disk keeps its incarnation across restarts, but its requests and slot shares end with the
+    // process.
+    std::uint64_t newLife() { return static_cast<std::uint64_t>(wallNow().time_since_epoch().count()); }
+
     http_response plainResponse(int status, std::string text)
     {
         return { status, { { "Content-Type", "text/plain" } }, std::move(text) };
@@ -84,7 +89,7 @@
         , client(context)
         , access(readTokens(values.tokenFile))
         , control(values, metrics, controlHooks())
-        , data(context, values, control.incarnation(), client, metrics, dataHooks())
+        , data(context, values, newLife(), client, metrics, dataHooks())
         , listener(context, listenerSettings(values),
               [this](http_request request, const http_responder& responder) { handle(std::move(request), responder); })
     {
--- a/chervilport/requests/claim_codec.cpp
+++ b/chervilport/requests/claim_codec.cpp
@@ -1,5 +1,6 @@
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/requests/claim_state.h"
+#include "chervilport/requests/response_json.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -11,33 +12,6 @@
 
     using json = nlohmann::json;
 
-    // Texts of callers may be any bytes, and CBOR texts must be UTF-8; therefore all texts are written as bytes.
-    json toBytes(std::string_view text) { return json::binary(std::vector<std::uint8_t>(text.begin(), text.end())); }
-
-    std::string fromBytes(const json& value)
-    {
-        const auto& bytes = value.get_binary();
-        return { bytes.begin(), bytes.end() };
-    }
-
-    json toJson(const http_response& response)
-    {
-        auto headers = json::array();
-        for (const auto& header : response.headers)
-            headers.push_back(json::array({ toBytes(header.name), toBytes(header.value) }));
-        return json::array({ response.status, std::move(headers), toBytes(response.body) });
-    }
-
-    http_response toResponse(const json& value)
-    {
-        http_response response;
-        response.status = value.at(0).get<int>();
-        for (const auto& header : value.at(1))
-            response.headers.push_back({ fromBytes(header.at(0)), fromBytes(header.at(1)) });
-        response.body = fromBytes(value.at(2));
-        return response;
-    }
-
     template <typename Enumeration> Enumeration toEnumeration(const json& value, Enumeration first, Enumeration last)
     {
         const auto number = value.get<int>();
