--- a/apps/chervilportd/main.cpp
+++ b/apps/chervilportd/main.cpp
@@ -2,6 +2,7 @@
 #include "chervilport/instance/instance.h"
 #include "chervilport/logging/log.h"
 #include "chervilport/settings/settings_reader.h"
+#include "platform/process.h"
 
 #include <cstdio>
 #include <exception>
@@ -16,6 +17,7 @@
 constexpr int exitUsage = 2;
 
 constexpr const char* usage = R"(Usage: chervilportd [--config FILE] [--initialize SCOPE] [--check-config]
+       chervilportd --platform
 
 Runs one instance of chervilport. Without a file it runs alone on 127.0.0.1:7400 and keeps no state on disk.
 
@@ -25,6 +27,7 @@
                        first start of one instance of the cluster, "domain" for that of one instance of each further
                        failure domain
       --check-config   check the settings, print every fault, and exit
+      --platform       run as the users' platform says in its own settings file; docs/platform-note.md
   -h, --help           print this text
       --version        print the version
 
@@ -36,11 +39,13 @@
     bool checkOnly = false;
     bool initializeDomain = false;
     bool initializeFleet = false;
+    bool platform = false;
 };
 
 enum long_option : int {
     CheckConfig = 256,
     Initialize,
+    Platform,
     Version,
 };
 
@@ -51,6 +56,7 @@
         { "config", required_argument, nullptr, 'c' },
         { "check-config", no_argument, nullptr, CheckConfig },
         { "initialize", required_argument, nullptr, Initialize },
+        { "platform", no_argument, nullptr, Platform },
         { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, Version },
         {},
@@ -72,6 +78,9 @@
                 return exitUsage;
             }
             break;
+        case Platform:
+            given.platform = true;
+            break;
         case 'h':
             std::cout << usage;
             return exitOk;
@@ -94,6 +103,9 @@
 {
     using namespace chervilport;
 
+    if (given.platform)
+        return platform::runProcess();
+
     // Check the settings as a whole before anything starts.
     settings_result settings;
     if (!given.configFile.empty())
--- /dev/null
+++ b/chervilport/batch/batch_apply.cpp
@@ -0,0 +1,269 @@
+#include "chervilport/batch/batch_apply.h"
+
+#include "chervilport/batch/run_accounting.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace chervilport::batch {
+
+namespace {
+
+    void dropExpiredJobs(batch_state& state)
+    {
+        std::erase_if(state.jobs, [&](const auto& entry) {
+            const auto& job = entry.second;
+            return job.phase != job_phase::Active && job.activeRuns == 0
+                && job.endedMs + endedJobRetentionMs < state.timeMs;
+        });
+    }
+
+    void dropProgressIfIdle(job_record& job)
+    {
+        if (job.phase != job_phase::Active && job.activeRuns == 0)
+            job.occurrences.clear();
+    }
+
+    void endJob(batch_state& state, job_record& job, job_phase phase)
+    {
+        job.phase = phase;
+        job.endedMs = state.timeMs;
+        dropProgressIfIdle(job);
+    }
+
+    void apply(batch_state& state, const job_submitted& command)
+    {
+        dropExpiredJobs(state);
+        if (state.jobs.contains(command.request.id))
+            return;
+        job_record job;
+        job.request = command.request;
+        job.queue = command.queue;
+        job.workspace = command.workspace;
+        job.acceptedMs = state.timeMs;
+        if (const auto* const queue = findQueue(state.config, command.queue)) {
+            job.service = queue->service;
+            job.priority = queue->priority;
+            job.maxAttempts = queue->maxAttempts;
+        }
+        state.jobs.emplace(command.request.id, std::move(job));
+    }
+
+    void apply(batch_state& state, const job_cancelled& command)
+    {
+        const auto found = state.jobs.find(command.job);
+        if (found != state.jobs.end() && found->second.phase == job_phase::Active)
+            endJob(state, found->second, job_phase::Cancelled);
+    }
+
+    void apply(batch_state& state, const run_assigned& command)
+    {
+        const auto found = state.jobs.find(command.run.task.job);
+        if (found == state.jobs.end() || found->second.phase != job_phase::Active)
+            return;
+        auto& job = found->second;
+        const auto number = command.run.task.occurrence;
+        if (number >= job.nextOccurrence) {
+            job.occurrences.emplace(number, makeOccurrence(job.request));
+            job.nextOccurrence = number + 1;
+        }
+        const auto* const task = findTask(state, command.run.task);
+        if (task == nullptr || task->done || task->worker != noWorker || command.run.run <= task->lastRun
+            || !state.workers.contains(command.worker))
+            return;
+        job.begun = true;
+        beginRun(state, command.run, command.worker);
+    }
+
+    void completeIfDone(batch_state& state, job_record& job, std::uint32_t number)
+    {
+        const auto found = job.occurrences.find(number);
+        const bool done = std::all_of(found->second.steps.begin(), found->second.steps.end(),
+            [](const step_record& step) { return step.doneCount == step.tasks.size(); });
+        if (!done)
+            return;
+        job.occurrences.erase(found);
+        ++job.occurrencesDone;
+        if (job.occurrencesDone == occurrencesOf(job.request))
+            endJob(state, job, job_phase::Completed);
+    }
+
+    void markDone(step_record& step, task_record& task)
+    {
+        if (task.done)
+            return;
+        task.done = true;
+        ++step.doneCount;
+    }
+
+    /// The members of a gang end as done together, so one end stands for all of them.
+    void markGangDone(batch_state& state, const run_ref& run)
+    {
+        auto& step = *findStep(state, run.task);
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            auto member = run.task;
+            member.index = i;
+            if (step.tasks[i].worker != noWorker && step.tasks[i].lastRun == run.run)
+                releaseRun(state, member);
+            markDone(step, step.tasks[i]);
+        }
+    }
+
+    void shareCheckpoint(step_record& step, const std::string& checkpoint)
+    {
+        for (auto& task : step.tasks)
+            task.checkpoint = checkpoint;
+    }
+
+    void countFailure(const step_spec& spec, step_record& step, task_record& task, std::uint32_t run)
+    {
+        if (!spec.gang) {
+            ++task.failures;
+            return;
+        }
+        if (step.lastFailedRun == run)
+            return;
+        step.lastFailedRun = run;
+        ++step.gangFailures;
+    }
+
+    bool isOutOfAttempts(const batch_state& state, const job_record& job, const step_spec& spec,
+        const step_record& step, const task_record& task)
+    {
+        if (spec.longRunning)
+            return false;
+        const auto* const queue = findQueue(state.config, job.queue);
+        const auto allowed = queue != nullptr ? queue->maxAttempts : job.maxAttempts;
+        return (spec.gang ? step.gangFailures : task.failures) >= allowed;
+    }
+
+    void apply(batch_state& state, const run_ended& command)
+    {
+        if (!isActive(state, command.run, command.worker))
+            return;
+        auto& job = state.jobs.at(command.run.task.job);
+        const auto& spec = job.request.steps[command.run.task.step];
+        auto& step = *findStep(state, command.run.task);
+        auto& task = step.tasks[command.run.task.index];
+        releaseRun(state, command.run.task);
+
+        if (!command.checkpoint.empty()) {
+            task.checkpoint = command.checkpoint;
+            if (spec.gang)
+                shareCheckpoint(step, command.checkpoint);
+        }
+        if (command.kind == run_end_kind::Done && !spec.longRunning) {
+            markDone(step, task);
+            if (spec.gang)
+                markGangDone(state, command.run);
+        }
+        if (command.kind == run_end_kind::Failed)
+            countFailure(spec, step, task, command.run.run);
+
+        if (job.phase != job_phase::Active) {
+            dropProgressIfIdle(job);
+            return;
+        }
+        if (command.kind == run_end_kind::Done)
+            completeIfDone(state, job, command.run.task.occurrence);
+        else if (command.kind == run_end_kind::Failed && isOutOfAttempts(state, job, spec, step, task))
+            endJob(state, job, job_phase::Failed);
+    }
+
+    std::vector<run_ref> runsOn(const batch_state& state, worker_number worker)
+    {
+        std::vector<run_ref> found;
+        for (const auto& [id, job] : state.jobs) {
+            if (job.activeRuns == 0)
+                continue;
+            for (const auto& [number, occurrence] : job.occurrences) {
+                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                    const auto& tasks = occurrence.steps[step].tasks;
+                    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                        if (tasks[i].worker == worker)
+                            found.push_back({ { id, number, step, i }, tasks[i].lastRun });
+                    }
+                }
+            }
+        }
+        return found;
+    }
+
+    void apply(batch_state& state, const worker_ended& command)
+    {
+        if (!state.workers.contains(command.worker))
+            return;
+        for (const auto& run : runsOn(state, command.worker))
+            apply(state, run_ended { run, command.worker, run_end_kind::Lapsed, {} });
+        state.workers.erase(command.worker);
+    }
+
+    /// A life is over when another one has begun later under the same id or at the same address.
+    bool endsLife(const worker_report& earlier, const worker_report& later)
+    {
+        const bool sameLife = earlier.id == later.id && earlier.born == later.born;
+        return !sameLife && (earlier.id == later.id || earlier.address == later.address) && earlier.born <= later.born;
+    }
+
+    void apply(batch_state& state, const worker_seen& command)
+    {
+        if (isOutdated(state, command.report))
+            return;
+        std::vector<worker_number> ended;
+        for (auto& [number, worker] : state.workers) {
+            if (endsLife(worker.report, command.report))
+                ended.push_back(number);
+        }
+        for (const auto number : ended)
+            apply(state, worker_ended { number });
+        for (auto& [number, worker] : state.workers) {
+            if (worker.report.id != command.report.id)
+                continue;
+            worker.report = command.report;
+            return;
+        }
+        worker_record worker;
+        worker.number = worker_number { state.nextWorker++ };
+        worker.report = command.report;
+        state.workers.emplace(worker.number, std::move(worker));
+    }
+
+    void apply(batch_state& state, const config_applied& command)
+    {
+        if (command.config.version > state.config.version)
+            state.config = command.config;
+    }
+
+} // namespace
+
+void applyBatch(batch_state& state, const command_batch& batch)
+{
+    state.timeMs = std::max(state.timeMs, batch.timeMs);
+    for (const auto& command : batch.commands)
+        std::visit([&](const auto& content) { apply(state, content); }, command);
+}
+
+bool changesWorker(const batch_state& state, const worker_report& report)
+{
+    const auto* const known = findWorker(state, report.id);
+    if (known == nullptr || known->report.born != report.born)
+        return true;
+    const auto& noted = known->report;
+    return noted.draining != report.draining || noted.address != report.address || noted.service != report.service
+        || noted.failureDomain != report.failureDomain || noted.capacity != report.capacity
+        || noted.labels != report.labels || noted.machine != report.machine;
+}
+
+bool isOutdated(const batch_state& state, const worker_report& report)
+{
+    for (const auto& [number, worker] : state.workers) {
+        const auto& noted = worker.report;
+        if (noted.id == report.id && noted.born == report.born)
+            return report.sequence <= noted.sequence || (noted.draining && !report.draining);
+        if ((noted.id == report.id || noted.address == report.address) && report.born < noted.born)
+            return true;
+    }
+    return false;
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/batch_state.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "chervilport/batch/job_record.h"
+#include "chervilport/batch/site_config.h"
+#include "chervilport/batch/worker_record.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace chervilport::batch {
+
+/// Everything that the control group agrees on.
+struct batch_state {
+    /// Time of the newest batch, Unix milliseconds; never goes backwards.
+    std::int64_t timeMs = 0;
+    /// Configuration in force.
+    site_config config;
+    /// Lives of workers that have not ended.
+    std::map<worker_number, worker_record> workers;
+    /// Number of the next life.
+    std::uint32_t nextWorker = 1;
+    /// Jobs by id.
+    std::map<std::string, job_record> jobs;
+};
+
+/// Returns the job, or null.
+const job_record* findJob(const batch_state&, std::string_view id);
+
+/// Returns the worker, or null.
+const worker_record* findWorker(const batch_state&, worker_number);
+
+/// Returns the present life of the worker with this id, or null.
+const worker_record* findWorker(const batch_state&, std::string_view id);
+
+/// Returns the queue of that name, or null.
+const queue_config* findQueue(const site_config&, std::string_view name);
+
+/// Returns the queue for a call by host and longest prefix of the path, or null.
+const queue_config* findQueue(const site_config&, std::string_view host, std::string_view path);
+
+/// Returns the workspace that has the key, or null.
+const workspace_quota* findWorkspaceByKey(const site_config&, std::string_view key);
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/config_check.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "chervilport/batch/site_config.h"
+
+#include <string>
+#include <vector>
+
+namespace chervilport::batch {
+
+/// Returns the faults of a configuration, each as a sentence; empty when it is valid.
+std::vector<std::string> findConfigFaults(const site_config&);
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/guarantee_cover.cpp
@@ -0,0 +1,44 @@
+#include "chervilport/batch/guarantee_cover.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace chervilport::batch {
+
+std::int64_t peakAccelerators(const job_request& request)
+{
+    std::int64_t sum = 0;
+    for (const auto& step : request.steps)
+        sum += step.demand.accelerators * static_cast<std::int64_t>(step.count);
+    return sum;
+}
+
+std::set<std::string> coveredJobs(const batch_state& state)
+{
+    std::map<std::string, std::vector<const job_record*>> byWorkspace;
+    for (const auto& [id, job] : state.jobs) {
+        if (job.phase == job_phase::Active && job.priority == guaranteedPriority)
+            byWorkspace[job.workspace].push_back(&job);
+    }
+    std::set<std::string> covered;
+    for (auto& [workspace, jobs] : byWorkspace) {
+        const auto quota = std::find_if(state.config.workspaces.begin(), state.config.workspaces.end(),
+            [&](const workspace_quota& each) { return each.name == workspace; });
+        if (quota == state.config.workspaces.end())
+            continue;
+        std::sort(jobs.begin(), jobs.end(), [](const job_record* left, const job_record* right) {
+            return std::tie(left->acceptedMs, left->request.id) < std::tie(right->acceptedMs, right->request.id);
+        });
+        auto left = quota->guaranteedAccelerators;
+        for (const auto* const job : jobs) {
+            left -= peakAccelerators(job->request);
+            if (left < 0)
+                break;
+            covered.insert(job->request.id);
+        }
+    }
+    return covered;
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/job_admission.cpp
@@ -0,0 +1,33 @@
+#include "chervilport/batch/job_admission.h"
+
+#include "chervilport/core/chervilport_error.h"
+
+#include <algorithm>
+
+namespace chervilport::batch {
+
+call_place locateCall(const batch_state& state, std::string_view host, std::string_view path, std::string_view key)
+{
+    if (state.config.version == 0)
+        throw chervilport_error(error_kind::Unavailable, "there is no configuration yet");
+    const auto* const queue = findQueue(state.config, host.substr(0, host.find(':')), path);
+    if (queue == nullptr)
+        throw chervilport_error(error_kind::NotFound, "no queue has this host and path");
+    call_place place { queue, {}, std::string(path.substr(queue->pathPrefix.size())) };
+    const auto* const workspace = findWorkspaceByKey(state.config, key);
+    if (workspace == nullptr && !queue->isPublic)
+        throw chervilport_error(error_kind::Unauthenticated, "the key is not known");
+    if (workspace != nullptr)
+        place.workspace = workspace->name;
+    return place;
+}
+
+std::size_t countPendingJobs(const batch_state& state, std::string_view queue)
+{
+    return static_cast<std::size_t>(std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
+        const auto& job = entry.second;
+        return job.phase == job_phase::Active && !job.begun && job.request.repeatCount == 0 && job.queue == queue;
+    }));
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/resource_demand.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+namespace chervilport::batch {
+
+/// Amounts of what a worker has and a task needs.
+struct resource_demand {
+    /// Thousandths of a core.
+    std::int64_t milliCores = 0;
+    /// Megabytes of memory.
+    std::int64_t memoryMb = 0;
+    /// Whole accelerators.
+    std::int64_t accelerators = 0;
+
+    friend bool operator==(const resource_demand&, const resource_demand&) = default;
+};
+
+/// Returns whether the first fits into the second in every amount.
+inline bool fitsInto(const resource_demand& demand, const resource_demand& room)
+{
+    return demand.milliCores <= room.milliCores && demand.memoryMb <= room.memoryMb
+        && demand.accelerators <= room.accelerators;
+}
+
+/// Adds an amount `times` times; a negative number takes it away.
+inline void addTimes(resource_demand& sum, const resource_demand& amount, std::int64_t times)
+{
+    sum.milliCores += amount.milliCores * times;
+    sum.memoryMb += amount.memoryMb * times;
+    sum.accelerators += amount.accelerators * times;
+}
+
+/// Returns what is left of a room.
+inline resource_demand without(resource_demand room, const resource_demand& used)
+{
+    addTimes(room, used, -1);
+    return room;
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -0,0 +1,171 @@
+#include "chervilport/batch/scheduling_pass.h"
+
+#include "chervilport/batch/guarantee_cover.h"
+#include "chervilport/batch/preemption.h"
+#include "chervilport/batch/ready_step.h"
+#include "chervilport/batch/worker_slot.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace chervilport::batch {
+
+namespace {
+
+    /// A worker stays reserved this long for a job, in milliseconds: the time to stop runs and note their ends.
+    constexpr std::int64_t reservationMs = 2'500;
+    /// Tasks wait this long for the rack where they are fast, in milliseconds.
+    constexpr std::int64_t nearWaitMs = 3'000;
+
+    struct pass {
+        const batch_state& state;
+        scheduling_memory& memory;
+        std::int64_t nowMs;
+        std::set<std::string> covered;
+        worker_slots slots;
+        scheduling_result result;
+    };
+
+    worker_slots makeSlots(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
+        const scheduling_memory& memory)
+    {
+        worker_slots slots;
+        for (const auto& [number, worker] : state.workers) {
+            const auto condition = conditions.find(number);
+            worker_slot slot;
+            slot.worker = &worker;
+            slot.free = freeRoom(worker);
+            if (condition != conditions.end()) {
+                slot.usable = condition->second.usable && !worker.report.draining;
+                slot.failureWeight = condition->second.failureWeight;
+            }
+            const auto reservation = memory.reservations.find(number);
+            if (reservation != memory.reservations.end())
+                slot.reservedFor = reservation->second.job;
+            slots.push_back(std::move(slot));
+        }
+        return slots;
+    }
+
+    void forgetExpired(scheduling_memory& memory, std::int64_t nowMs)
+    {
+        std::erase_if(memory.reservations, [&](const auto& entry) { return entry.second.expiresMs <= nowMs; });
+    }
+
+    const std::string& serviceOf(const batch_state& state, const job_record& job)
+    {
+        const auto* const queue = findQueue(state.config, job.queue);
+        return queue != nullptr ? queue->service : job.service;
+    }
+
+    void sortByUrgency(const pass& current, std::vector<ready_step>& ready)
+    {
+        const auto key = [&](const ready_step& each) {
+            const bool covered = current.covered.contains(each.job->request.id);
+            return std::tuple(!covered, each.job->priority, each.readySinceMs);
+        };
+        std::stable_sort(ready.begin(), ready.end(),
+            [&](const ready_step& left, const ready_step& right) { return key(left) < key(right); });
+    }
+
+    std::uint32_t nextRun(const ready_step& ready, std::uint32_t index)
+    {
+        if (ready.progress == nullptr)
+            return 1;
+        // The members of a gang share the number of their run.
+        if (specOf(ready).gang) {
+            std::uint32_t last = 0;
+            for (const auto& task : ready.progress->tasks)
+                last = std::max(last, task.lastRun);
+            return last + 1;
+        }
+        return ready.progress->tasks[index].lastRun + 1;
+    }
+
+    void assign(pass& current, const ready_step& ready, const placed_task& placed)
+    {
+        const task_ref task { ready.job->request.id, ready.occurrence, ready.step, placed.index };
+        const auto worker = current.slots[placed.slot].worker->number;
+        current.result.assigned.push_back({ { task, nextRun(ready, placed.index) }, worker });
+    }
+
+    void preemptFor(
+        pass& current, std::vector<preemption_victim>& victims, const ready_step& ready, const std::string& service)
+    {
+        for (const auto& choice : choosePreemptions(current.slots, victims, ready, service)) {
+            const auto worker = current.slots[choice.slot].worker->number;
+            current.memory.reservations[worker] = { ready.job->request.id, current.nowMs + reservationMs };
+            current.slots[choice.slot].reservedFor = ready.job->request.id;
+            for (const auto& run : choice.victims) {
+                if (current.memory.stopping.insert(run).second)
+                    current.result.preempted.push_back(run);
+            }
+        }
+    }
+
+    /// Placements of the same size in the same place need not be tried again in this pass once one did not fit.
+    struct unplaceable_size {
+        resource_demand demand;
+        std::string service;
+        std::string label;
+    };
+
+    bool isKnownUnplaceable(
+        const std::vector<unplaceable_size>& sizes, const ready_step& ready, const std::string& service)
+    {
+        const auto& spec = specOf(ready);
+        const auto demand = chargedDemand(spec);
+        return std::any_of(sizes.begin(), sizes.end(), [&](const unplaceable_size& size) {
+            return size.service == service && (size.label.empty() || size.label == spec.requiredLabel)
+                && fitsInto(size.demand, demand);
+        });
+    }
+
+    bool anyFits(const pass& current, const ready_step& ready, const std::string& service)
+    {
+        const auto demand = chargedDemand(specOf(ready));
+        return std::any_of(current.slots.begin(), current.slots.end(), [&](const worker_slot& slot) {
+            return slot.usable && fitsInto(demand, slot.free) && isEligible(slot, ready, service);
+        });
+    }
+
+} // namespace
+
+scheduling_result planPass(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
+    scheduling_memory& memory, std::int64_t nowMs)
+{
+    forgetExpired(memory, nowMs);
+    pass current { state, memory, nowMs, coveredJobs(state), makeSlots(state, conditions, memory), {} };
+    auto ready = listReadySteps(state, nowMs);
+    sortByUrgency(current, ready);
+    std::vector<preemption_victim> victims;
+    bool victimsListed = false;
+    std::vector<unplaceable_size> unplaceable;
+
+    for (auto& each : ready) {
+        const auto& service = serviceOf(state, *each.job);
+        const bool covered = current.covered.contains(each.job->request.id);
+        if (!covered && isKnownUnplaceable(unplaceable, each, service))
+            continue;
+        const bool allowFar = covered || nowMs - each.readySinceMs > nearWaitMs;
+        const auto placed = placeStep(current.slots, each, service, allowFar);
+        for (const auto& task : placed)
+            assign(current, each, task);
+        if (placed.size() == each.tasks.size())
+            continue;
+        if (!covered) {
+            if (!anyFits(current, each, service))
+                unplaceable.push_back({ chargedDemand(specOf(each)), service, specOf(each).requiredLabel });
+            continue;
+        }
+        // The rest of a guaranteed job takes the room of jobs that borrow it.
+        if (!victimsListed)
+            victims = listVictims(state, current.covered, memory.stopping, nowMs);
+        victimsListed = true;
+        each.tasks.erase(each.tasks.begin(), each.tasks.begin() + static_cast<std::ptrdiff_t>(placed.size()));
+        preemptFor(current, victims, each, service);
+    }
+    return std::move(current.result);
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/scheduling_pass.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "chervilport/batch/batch_command.h"
+#include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/task_ref.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilport::batch {
+
+/// What the leader knows of a worker beyond the agreed state.
+struct worker_condition {
+    /// Whether runs may be started there: it was heard in this term, is sound, and does not leave.
+    bool usable = false;
+    /// Likelihood that runs fail there, in thousandths.
+    std::int32_t failureWeight = 0;
+};
+
+/// A worker that is kept for a job while runs stop there for it.
+struct worker_reservation {
+    std::string job;
+    /// Unix milliseconds.
+    std::int64_t expiresMs = 0;
+};
+
+/// What the leader remembers from one pass to the next. A new leader begins with an empty one.
+struct scheduling_memory {
+    /// Runs that were told to stop.
+    std::set<run_ref> stopping;
+    /// Workers kept for jobs.
+    std::map<worker_number, worker_reservation> reservations;
+};
+
+/// What a pass decided.
+struct scheduling_result {
+    /// Runs to begin, to be committed first.
+    std::vector<run_assigned> assigned;
+    /// Runs to stop so that guaranteed jobs find room.
+    std::vector<run_ref> preempted;
+};
+
+/// Decides which tasks start where. Changes nothing but the memory; `nowMs` are Unix milliseconds.
+scheduling_result planPass(
+    const batch_state&, const std::map<worker_number, worker_condition>&, scheduling_memory&, std::int64_t nowMs);
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/worker_slot.cpp
@@ -0,0 +1,165 @@
+#include "chervilport/batch/worker_slot.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace chervilport::batch {
+
+namespace {
+
+    /// What narrows the choice of workers for one step.
+    struct placement_limits {
+        const ready_step* ready = nullptr;
+        const std::string* service = nullptr;
+        /// Only this rack; empty for any.
+        std::string rack;
+    };
+
+    bool hasLabel(const worker_report& report, const std::string& label)
+    {
+        return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
+    }
+
+    bool isReservedForOther(const worker_slot& slot, const ready_step& ready)
+    {
+        return !slot.reservedFor.empty() && slot.reservedFor != ready.job->request.id;
+    }
+
+    /// Smaller is better: sound workers first, then the tightest fit, so that whole workers stay free for large tasks.
+    auto rankOf(const worker_slot& slot, const resource_demand& demand)
+    {
+        const auto left = without(slot.free, demand);
+        return std::tuple(slot.failureWeight, left.accelerators, left.milliCores, left.memoryMb);
+    }
+
+    std::optional<std::size_t> chooseSlot(
+        const worker_slots& slots, const placement_limits& limits, const std::map<worker_number, std::uint32_t>& runs)
+    {
+        const auto& spec = specOf(*limits.ready);
+        const auto demand = chargedDemand(spec);
+        std::optional<std::size_t> best;
+        for (std::size_t i = 0; i < slots.size(); ++i) {
+            const auto& slot = slots[i];
+            if (!slot.usable || !fitsInto(demand, slot.free) || isReservedForOther(slot, *limits.ready))
+                continue;
+            if (!limits.rack.empty() && slot.worker->report.rack != limits.rack)
+                continue;
+            if (!isEligible(slot, *limits.ready, *limits.service))
+                continue;
+            if (spec.maxPerWorker > 0) {
+                const auto found = runs.find(slot.worker->number);
+                if (found != runs.end() && found->second >= spec.maxPerWorker)
+                    continue;
+            }
+            if (!best || rankOf(slot, demand) < rankOf(slots[*best], demand))
+                best = i;
+        }
+        return best;
+    }
+
+    std::vector<placed_task> placeGreedily(worker_slots& slots, const placement_limits& limits)
+    {
+        const auto demand = chargedDemand(specOf(*limits.ready));
+        auto runs = countRuns(*limits.ready);
+        std::vector<placed_task> placed;
+        for (const auto index : limits.ready->tasks) {
+            const auto chosen = chooseSlot(slots, limits, runs);
+            if (!chosen)
+                break;
+            addTimes(slots[*chosen].free, demand, -1);
+            ++runs[slots[*chosen].worker->number];
+            placed.push_back({ index, *chosen });
+        }
+        return placed;
+    }
+
+    void giveBack(worker_slots& slots, const ready_step& ready, const std::vector<placed_task>& placed)
+    {
+        for (const auto& each : placed)
+            addTimes(slots[each.slot].free, chargedDemand(specOf(ready)), 1);
+    }
+
+    std::vector<placed_task> placeAllOrNone(worker_slots& slots, const placement_limits& limits)
+    {
+        auto placed = placeGreedily(slots, limits);
+        if (placed.size() == limits.ready->tasks.size())
+            return placed;
+        giveBack(slots, *limits.ready, placed);
+        return {};
+    }
+
+    std::set<std::string> racksOf(const worker_slots& slots)
+    {
+        std::set<std::string> racks;
+        for (const auto& slot : slots)
+            racks.insert(slot.worker->report.rack);
+        return racks;
+    }
+
+    /// Places all tasks in one rack: the one that is left with the fewest free accelerators.
+    std::vector<placed_task> placeInOneRack(worker_slots& slots, placement_limits limits)
+    {
+        std::optional<std::pair<std::int64_t, std::string>> best;
+        for (const auto& rack : racksOf(slots)) {
+            limits.rack = rack;
+            const auto placed = placeAllOrNone(slots, limits);
+            if (placed.empty())
+                continue;
+            giveBack(slots, *limits.ready, placed);
+            std::int64_t free = 0;
+            for (const auto& slot : slots) {
+                if (slot.worker->report.rack == rack && slot.usable)
+                    free += slot.free.accelerators;
+            }
+            if (!best || free < best->first)
+                best = { free, rack };
+        }
+        if (!best)
+            return {};
+        limits.rack = best->second;
+        return placeAllOrNone(slots, limits);
+    }
+
+} // namespace
+
+bool isEligible(const worker_slot& slot, const ready_step& ready, const std::string& service)
+{
+    const auto& report = slot.worker->report;
+    const auto& spec = specOf(ready);
+    return report.service == service && (spec.requiredLabel.empty() || hasLabel(report, spec.requiredLabel));
+}
+
+std::map<worker_number, std::uint32_t> countRuns(const ready_step& ready)
+{
+    std::map<worker_number, std::uint32_t> runs;
+    if (ready.progress == nullptr || specOf(ready).maxPerWorker == 0)
+        return runs;
+    for (const auto& task : ready.progress->tasks) {
+        if (task.worker != noWorker)
+            ++runs[task.worker];
+    }
+    return runs;
+}
+
+std::vector<placed_task> placeStep(
+    worker_slots& slots, const ready_step& ready, const std::string& service, bool allowFar)
+{
+    const auto& spec = specOf(ready);
+    placement_limits limits { &ready, &service, spec.dataRack };
+    if (spec.gang) {
+        auto placed
+            = spec.rackLocal && limits.rack.empty() ? placeInOneRack(slots, limits) : placeAllOrNone(slots, limits);
+        if (!placed.empty() || !allowFar || (limits.rack.empty() && !spec.rackLocal))
+            return placed;
+        limits.rack.clear();
+        return placeAllOrNone(slots, limits);
+    }
+    auto placed = placeGreedily(slots, limits);
+    if (!placed.empty() || !allowFar || limits.rack.empty())
+        return placed;
+    limits.rack.clear();
+    return placeGreedily(slots, limits);
+}
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/workspace_quota.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervilport::batch {
+
+/// A workspace with its keys and its guarantee.
+struct workspace_quota {
+    /// Unique name.
+    std::string name;
+    /// Keys that identify calls of the workspace.
+    std::vector<std::string> keys;
+    /// Accelerators that belong to the workspace's jobs of priority 0 at all times.
+    std::int64_t guaranteedAccelerators = 0;
+
+    friend bool operator==(const workspace_quota&, const workspace_quota&) = default;
+};
+
+} // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/control/batch_controller.cpp
@@ -0,0 +1,283 @@
+#include "chervilport/control/batch_controller.h"
+
+#include "chervilport/batch/batch_apply.h"
+#include "chervilport/batch/batch_codec.h"
+#include "chervilport/batch/ready_step.h"
+#include "chervilport/batch/run_accounting.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/logging/event_log.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Time between two looks at what is due.
+    constexpr std::chrono::milliseconds tickInterval { 50 };
+    /// Time from a change to the pass that takes it into account, so that changes that come together share a pass.
+    constexpr std::chrono::milliseconds passDelay { 4 };
+    /// Added to the leases that an earlier leader may have granted.
+    constexpr std::chrono::milliseconds earlierLeaseSlack { 500 };
+    /// A worker's clock can be slow by two percent: fifty parts of lease last at most 51.
+    constexpr int clockParts = 50;
+
+    std::int64_t wallMs()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
+    }
+
+} // namespace
+
+struct batch_controller::timer {
+    explicit timer(asio::io_context& context)
+        : tick(context)
+        , pass(context)
+    {
+    }
+    asio::steady_timer tick;
+    asio::steady_timer pass;
+};
+
+batch_controller::batch_controller(
+    asio::io_context& context, const worker_bounds& bounds, worker_port port, group_link link)
+    : m_context(context)
+    , m_bounds(bounds)
+    , m_port(std::move(port))
+    , m_link(std::move(link))
+    , m_timer(std::make_unique<timer>(context))
+    , m_queue(std::make_shared<command_queue>(context, m_link.propose))
+{
+}
+
+batch_controller::~batch_controller() = default;
+
+void batch_controller::start() { scheduleTick(); }
+
+void batch_controller::stop()
+{
+    m_stopped = true;
+    resign();
+    m_timer->tick.cancel();
+    m_timer->pass.cancel();
+}
+
+void batch_controller::apply(std::string_view payload)
+{
+    const auto batch = batch::decodeBatch(payload);
+    batch::applyBatch(m_state, batch);
+    if (!m_leading)
+        return;
+    updateSessions();
+    startAssigned(batch);
+    bool mayStop = false;
+    for (const auto& command : batch.commands)
+        mayStop = mayStop || std::holds_alternative<batch::job_cancelled>(command)
+            || std::holds_alternative<batch::run_ended>(command);
+    if (mayStop)
+        stopEndedJobs();
+    requestPass();
+}
+
+std::string batch_controller::takeSnapshot() const { return batch::encodeState(m_state); }
+
+void batch_controller::loadSnapshot(std::string_view bytes) { m_state = batch::decodeState(bytes); }
+
+void batch_controller::noteStatus(const replica_status& status)
+{
+    const bool leads = status.role == replica_role::Leader && status.ready;
+    if (m_leading && (!leads || status.term != m_term))
+        resign();
+    if (!m_leading && leads && !m_stopped)
+        lead(status.term);
+}
+
+void batch_controller::propose(batch::batch_command command, command_queue::callback done)
+{
+    m_queue->add(std::move(command), std::move(done));
+}
+
+void batch_controller::lead(std::uint64_t term)
+{
+    m_leading = true;
+    m_term = term;
+    m_memory = {};
+    m_soundness.clear();
+    m_passOpen = 0;
+    m_passRequested = false;
+    m_leaseEnd = monotonicNow() + m_bounds.longestLease + m_bounds.longestLease / clockParts + earlierLeaseSlack;
+    logEvent("leadership_taken",
+        { { "term", term }, { "workers", m_state.workers.size() }, { "jobs", m_state.jobs.size() },
+            { "config_version", m_state.config.version } });
+    updateSessions();
+    requestPass();
+}
+
+void batch_controller::resign()
+{
+    if (!m_leading)
+        return;
+    m_leading = false;
+    logEvent("leadership_lost", { { "term", m_term } }, log_level::Warning);
+    for (auto& [number, session] : m_sessions)
+        session->close();
+    m_sessions.clear();
+}
+
+void batch_controller::updateSessions()
+{
+    std::erase_if(m_sessions, [&](const auto& entry) {
+        if (m_state.workers.contains(entry.first))
+            return false;
+        entry.second->close();
+        m_soundness.erase(entry.first);
+        m_memory.reservations.erase(entry.first);
+        return true;
+    });
+    for (const auto& [number, worker] : m_state.workers) {
+        if (m_sessions.contains(number))
+            continue;
+        auto session = std::make_shared<worker_session>(makeHost(number), number, m_leaseEnd);
+        m_sessions.emplace(number, session);
+        session->open();
+    }
+}
+
+session_host batch_controller::makeHost(batch::worker_number number)
+{
+    session_host host;
+    host.context = &m_context;
+    host.port = &m_port;
+    host.bounds = m_bounds;
+    host.term = m_term;
+    host.state = [this]() -> const batch::batch_state& { return m_state; };
+    host.mayAct = [this] { return m_leading && m_link.mayAct(); };
+    host.propose = [this](batch::batch_command command, std::function<void(proposal_result)> done) {
+        propose(std::move(command), std::move(done));
+    };
+    host.changed = [this] { requestPass(); };
+    host.ended = [this, number](const batch::run_ref& run, batch::run_end_kind kind) {
+        m_memory.stopping.erase(run);
+        if (noteEnd(m_soundness[number], kind, monotonicNow()))
+            logEvent("worker_quarantined", { { "worker", static_cast<std::uint32_t>(number) } }, log_level::Warning);
+    };
+    return host;
+}
+
+void batch_controller::scheduleTick()
+{
+    m_timer->tick.expires_after(tickInterval);
+    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_stopped)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void batch_controller::tick()
+{
+    if (!m_leading)
+        return;
+    const auto now = monotonicNow();
+    const auto sessions = m_sessions;
+    for (const auto& [number, session] : sessions)
+        session->tick(now);
+    requestPass();
+}
+
+void batch_controller::stopEndedJobs()
+{
+    for (const auto& [id, job] : m_state.jobs) {
+        if (job.phase == batch::job_phase::Active || job.activeRuns == 0)
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    const auto session = m_sessions.find(tasks[i].worker);
+                    if (session != m_sessions.end())
+                        session->second->stopRun({ { id, number, step, i }, tasks[i].lastRun });
+                }
+            }
+        }
+    }
+}
+
+void batch_controller::requestPass()
+{
+    if (m_passRequested || m_passOpen > 0 || !m_leading)
+        return;
+    m_passRequested = true;
+    m_timer->pass.expires_after(passDelay);
+    m_timer->pass.async_wait([weak = weak_from_this()](const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        self->m_passRequested = false;
+        self->pass();
+    });
+}
+
+std::map<batch::worker_number, batch::worker_condition> batch_controller::conditions() const
+{
+    const auto now = monotonicNow();
+    std::map<batch::worker_number, batch::worker_condition> known;
+    for (const auto& [number, session] : m_sessions) {
+        batch::worker_condition condition { session->isUsable(), 0 };
+        const auto soundness = m_soundness.find(number);
+        if (soundness != m_soundness.end()) {
+            condition.usable = condition.usable && isSound(soundness->second, now);
+            condition.failureWeight = failureWeightOf(soundness->second);
+        }
+        known.emplace(number, condition);
+    }
+    return known;
+}
+
+void batch_controller::pass()
+{
+    if (!m_leading || m_passOpen > 0 || !m_link.mayAct())
+        return;
+    auto decided = batch::planPass(m_state, conditions(), m_memory, wallMs());
+    for (const auto& run : decided.preempted) {
+        const auto* const task = batch::findTask(m_state, run.task);
+        const auto session = task == nullptr ? m_sessions.end() : m_sessions.find(task->worker);
+        if (session == m_sessions.end())
+            continue;
+        logEvent("run_preempted", { { "run", describe(run) }, { "worker", static_cast<std::uint32_t>(task->worker) } });
+        session->second->stopRun(run);
+    }
+    if (decided.assigned.empty())
+        return;
+    m_passOpen = decided.assigned.size();
+    for (const auto& each : decided.assigned) {
+        propose(each, [weak = weak_from_this(), term = m_term](proposal_result) {
+            const auto self = weak.lock();
+            if (!self || self->m_term != term || self->m_passOpen == 0)
+                return;
+            if (--self->m_passOpen == 0)
+                self->requestPass();
+        });
+    }
+}
+
+void batch_controller::startAssigned(const batch::command_batch& batch)
+{
+    for (const auto& command : batch.commands) {
+        const auto* const assigned = std::get_if<batch::run_assigned>(&command);
+        if (assigned == nullptr || !batch::isActive(m_state, assigned->run, assigned->worker))
+            continue;
+        const auto session = m_sessions.find(assigned->worker);
+        if (session == m_sessions.end())
+            continue;
+        logEvent("run_assigned",
+            { { "run", describe(assigned->run) }, { "worker", m_state.workers.at(assigned->worker).report.id } });
+        session->second->startRun(assigned->run);
+    }
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/batch_controller.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "chervilport/batch/batch_command.h"
+#include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/scheduling_pass.h"
+#include "chervilport/consensus/replica.h"
+#include "chervilport/control/command_queue.h"
+#include "chervilport/control/node_settings.h"
+#include "chervilport/control/worker_port.h"
+#include "chervilport/control/worker_session.h"
+#include "chervilport/control/worker_soundness.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+/// The jobs of a site: applies the committed commands on every member of the control group and, on the leader, decides
+/// what runs where and deals with the workers. All functions are called on the control thread.
+class batch_controller : public std::enable_shared_from_this<batch_controller> {
+public:
+    /// Links to the replication group.
+    struct group_link {
+        /// Appends an encoded batch.
+        command_queue::propose_function propose;
+        /// Whether this instance is leader and no other one can be.
+        std::function<bool()> mayAct;
+    };
+
+    /// Creates a controller that is no leader.
+    batch_controller(asio::io_context&, const worker_bounds&, worker_port, group_link);
+    ~batch_controller();
+
+    /// Starts the timer.
+    void start();
+
+    /// Ends all sessions.
+    void stop();
+
+    /// Applies a committed batch.
+    void apply(std::string_view payload);
+
+    /// Returns the encoded state.
+    std::string takeSnapshot() const;
+
+    /// Replaces the state.
+    void loadSnapshot(std::string_view);
+
+    /// Takes up or gives up leadership.
+    void noteStatus(const replica_status&);
+
+    /// Returns the agreed state.
+    const batch::batch_state& state() const { return m_state; }
+
+    /// Proposes a command; leader only.
+    void propose(batch::batch_command, command_queue::callback);
+
+private:
+    struct timer;
+
+    void lead(std::uint64_t term);
+    void resign();
+    void scheduleTick();
+    void tick();
+    void updateSessions();
+    void stopEndedJobs();
+    void requestPass();
+    void pass();
+    void startAssigned(const batch::command_batch&);
+    std::map<batch::worker_number, batch::worker_condition> conditions() const;
+    session_host makeHost(batch::worker_number);
+
+    asio::io_context& m_context;
+    worker_bounds m_bounds;
+    worker_port m_port;
+    group_link m_link;
+    std::unique_ptr<timer> m_timer;
+    batch::batch_state m_state;
+    std::shared_ptr<command_queue> m_queue;
+    std::map<batch::worker_number, std::shared_ptr<worker_session>> m_sessions;
+    std::map<batch::worker_number, worker_soundness> m_soundness;
+    batch::scheduling_memory m_memory;
+    std::uint64_t m_term = 0;
+    log_time m_leaseEnd;
+    std::size_t m_passOpen = 0;
+    bool m_leading = false;
+    bool m_passRequested = false;
+    bool m_stopped = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/command_queue.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "chervilport/batch/batch_command.h"
+#include "chervilport/instance/proposal_result.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+/// Collects commands into batches, so that one write to disk serves many of them. One batch is on its way at a time.
+class command_queue : public std::enable_shared_from_this<command_queue> {
+public:
+    /// Called once with the fate of a command; after it was applied when it is committed.
+    using callback = std::function<void(proposal_result)>;
+    /// Appends encoded commands to the log.
+    using propose_function = std::function<void(std::string, callback)>;
+
+    /// Creates an empty queue.
+    command_queue(asio::io_context&, propose_function);
+    ~command_queue();
+
+    /// Adds a command.
+    void add(batch::batch_command, callback);
+
+    /// Returns the number of commands whose fate is open.
+    std::size_t open() const;
+
+private:
+    struct entry {
+        batch::batch_command command;
+        callback done;
+    };
+
+    void schedule();
+    void flush();
+    void settle(const std::vector<entry>&, proposal_result);
+
+    struct timer;
+    std::unique_ptr<timer> m_timer;
+    propose_function m_propose;
+    std::vector<entry> m_waiting;
+    std::size_t m_inFlight = 0;
+    bool m_scheduled = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/control_node.cpp
@@ -0,0 +1,368 @@
+#include "chervilport/control/control_node.h"
+
+#include "chervilport/batch/batch_apply.h"
+#include "chervilport/consensus/membership_rules.h"
+#include "chervilport/control/node_address.h"
+#include "chervilport/instance/instance_storage.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/instance/peer_network.h"
+#include "chervilport/logging/event_log.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <random>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr const char* groupName = "control";
+    constexpr const char* clusterName = "site";
+    constexpr std::chrono::milliseconds heartbeat { 150 };
+    constexpr std::chrono::milliseconds electionTimeout { 700 };
+    constexpr std::chrono::milliseconds tickInterval { 100 };
+    /// Pause between two requests to join.
+    constexpr std::chrono::milliseconds joinInterval { 300 };
+    /// Time without a leader after which a member asks to join again, as it may have been removed meanwhile.
+    constexpr std::chrono::milliseconds leaderlessTime { 1'500 };
+    /// Time without a connection after which a member gives way to one that has joined lately.
+    constexpr std::chrono::milliseconds replaceTime { 1'500 };
+    /// Time for which a member counts as joined lately.
+    constexpr std::chrono::milliseconds recentAdmission { 15'000 };
+    /// Time without a connection after which a member is removed when there are more than the tolerated losses need.
+    constexpr std::chrono::milliseconds removeTime { 20'000 };
+    /// Time for the transfer of leadership at a planned stop.
+    constexpr std::chrono::milliseconds transferTime { 1'500 };
+    constexpr std::chrono::milliseconds transferPoll { 50 };
+
+    std::uint64_t numberOf(member_id id) { return static_cast<std::uint64_t>(id); }
+
+    /// Settings of the link to other instances.
+    settings linkSettings(const node_settings& values)
+    {
+        settings link;
+        link.instanceId = numberOf(memberAt(values.ip, values.peerPort));
+        link.clusterId = clusterName;
+        link.peerListen = values.ip + ':' + std::to_string(values.peerPort);
+        return link;
+    }
+
+    bool beginsGroup(const node_settings& values, const instance_storage& storage)
+    {
+        if (!values.mayFound || storage.hasGroup(groupName) || values.seeds.empty())
+            return false;
+        const auto& first = *std::min_element(values.seeds.begin(), values.seeds.end(),
+            [](const peer_address& left, const peer_address& right) { return left.id < right.id; });
+        return first.ip == values.ip;
+    }
+
+    replica_config groupConfig(const node_settings& values, const instance_storage& storage)
+    {
+        replica_config config;
+        config.self = { memberAt(values.ip, values.peerPort), storage.incarnation(), storage.hasDisk() };
+        config.heartbeat = heartbeat;
+        config.electionTimeout = electionTimeout;
+        config.seed = std::random_device {}();
+        if (beginsGroup(values, storage))
+            config.initial.voters.push_back(config.self);
+        return config;
+    }
+
+} // namespace
+
+struct control_node::timer {
+    explicit timer(asio::io_context& context)
+        : tick(context)
+        , transfer(context)
+    {
+    }
+    asio::steady_timer tick;
+    asio::steady_timer transfer;
+};
+
+control_node::control_node(
+    asio::io_context& context, const node_settings& values, worker_port port, serve_function serve)
+    : m_context(context)
+    , m_settings(values)
+    , m_serve(std::move(serve))
+    , m_timer(std::make_unique<timer>(context))
+    , m_storage(std::make_unique<instance_storage>(values.dataFolder))
+{
+    const auto config = groupConfig(values, *m_storage);
+    logEvent("control_instance",
+        { { "member", numberOf(config.self.id) }, { "incarnation", config.self.incarnation },
+            { "founds", config.initial.voters.empty() ? "false" : "true" },
+            { "has_log", m_storage->hasGroup(groupName) ? "true" : "false" } });
+
+    peer_network_hooks hooks;
+    hooks.receive = [this](replication_scope, const message& received) { m_group->receive(received); };
+    hooks.receiveNotice = [](std::uint64_t, const std::string&) {};
+    hooks.observeConfiguration = [](std::uint64_t, std::uint64_t) {};
+    hooks.serve = [this](const std::shared_ptr<control_call>& call) { serveFromPeer(call); };
+    hooks.connectionChanged = [this](std::uint64_t instance, bool connected) {
+        if (connected)
+            m_lostSince.erase(member_id { instance });
+        else
+            m_lostSince.emplace(member_id { instance }, monotonicNow());
+    };
+    m_network
+        = std::make_shared<peer_network>(context, linkSettings(values), m_storage->incarnation(), std::move(hooks));
+
+    batch_controller::group_link link;
+    link.propose = [this](std::string payload, command_queue::callback done) {
+        m_group->propose(std::move(payload), std::move(done));
+    };
+    link.mayAct = [this] { return m_group->mayExecute(); };
+    m_jobs = std::make_shared<batch_controller>(context, values.workers, std::move(port), std::move(link));
+
+    replica_group_hooks groupHooks;
+    groupHooks.apply = [this](std::string_view payload) { m_jobs->apply(payload); };
+    groupHooks.takeSnapshot = [this] { return m_jobs->takeSnapshot(); };
+    groupHooks.loadSnapshot = [this](std::string_view data) { m_jobs->loadSnapshot(data); };
+    groupHooks.send
+        = [this](std::vector<message> messages) { m_network->send(replication_scope::Fleet, std::move(messages)); };
+    groupHooks.statusChanged = [this](const replica_status& status) { noteStatus(status); };
+    m_group = std::make_shared<replica_group>(
+        context, groupName, config, m_storage->openGroup(groupName), std::move(groupHooks));
+    m_relay = std::make_shared<leader_relay>(context, *m_network, config.self.id);
+    m_relay->membersChanged = [this](const std::vector<member_id>&) { updatePeers(); };
+}
+
+control_node::~control_node() = default;
+
+void control_node::start()
+{
+    m_lastLed = monotonicNow();
+    m_network->start();
+    setSeeds(m_settings.seeds);
+    m_group->start();
+    updatePeers();
+    m_jobs->start();
+    m_relay->start();
+    scheduleTick();
+}
+
+void control_node::setSeeds(const std::vector<peer_address>& seeds)
+{
+    m_settings.seeds = seeds;
+    std::vector<member_id> ids;
+    for (const auto& seed : seeds)
+        ids.push_back(seed.id);
+    m_relay->setSeeds(std::move(ids));
+    updatePeers();
+}
+
+void control_node::prepareStop(std::function<void()> done)
+{
+    if (!mayServe() || !m_group->transferLeadership()) {
+        done();
+        return;
+    }
+    logEvent("leadership_transfer", { { "term", m_group->status().term } });
+    const auto deadline = monotonicNow() + transferTime;
+    const auto poll = std::make_shared<std::function<void()>>();
+    *poll = [self = shared_from_this(), deadline, done = std::move(done), poll] {
+        if (self->m_group->status().role != replica_role::Leader || monotonicNow() >= deadline) {
+            done();
+            *poll = nullptr;
+            return;
+        }
+        self->m_timer->transfer.expires_after(transferPoll);
+        self->m_timer->transfer.async_wait([poll](const std::error_code& error) {
+            if (!error)
+                (*poll)();
+        });
+    };
+    asio::post(m_context, [poll] { (*poll)(); });
+}
+
+void control_node::stop()
+{
+    m_stopped = true;
+    m_timer->tick.cancel();
+    m_relay->stop();
+    m_jobs->stop();
+    m_group->stop();
+    m_network->stop();
+}
+
+bool control_node::mayServe() const { return m_group->mayServe(); }
+
+bool control_node::hasReport(const batch::worker_report& report) const
+{
+    return !batch::changesWorker(m_jobs->state(), report);
+}
+
+std::optional<std::string> control_node::leaderIp() const
+{
+    const auto status = m_group->status();
+    if (!status.leader || *status.leader == m_group->self().id)
+        return std::nullopt;
+    return addressOf(*status.leader).ip;
+}
+
+void control_node::dispatch(std::shared_ptr<control_call> call, std::string name)
+{
+    if (mayServe()) {
+        m_serve(std::move(call));
+        return;
+    }
+    const auto reply = call->reply;
+    m_relay->relay(call->request, std::move(name), call->deadline, [reply](const relay_outcome& outcome) {
+        reply(outcome.response ? *outcome.response : makeOutcomeUnknownResponse());
+    });
+}
+
+void control_node::serveFromPeer(const std::shared_ptr<control_call>& call)
+{
+    if (m_stopped || serveCluster(call))
+        return;
+    if (!mayServe()) {
+        call->reply(makeNotLeaderResponse(m_group->status().leader));
+        return;
+    }
+    m_serve(call);
+}
+
+bool control_node::serveCluster(const std::shared_ptr<control_call>& call)
+{
+    if (isStatusRequest(call->request)) {
+        call->reply(makeStatusResponse(describe()));
+        return true;
+    }
+    if (const auto joining = readJoinRequest(call->request)) {
+        call->reply(admit(*joining));
+        return true;
+    }
+    return false;
+}
+
+cluster_status control_node::describe() const
+{
+    const auto status = m_group->status();
+    cluster_status described;
+    described.leader = status.leader;
+    described.term = status.term;
+    described.serves = mayServe();
+    for (const auto& each : status.members.voters)
+        described.members.push_back(each.id);
+    for (const auto& each : status.members.learners)
+        described.members.push_back(each.id);
+    return described;
+}
+
+http_response control_node::admit(const member& joining)
+{
+    if (!mayServe())
+        return makeNotLeaderResponse(m_group->status().leader);
+    if (isListed(m_group->status().members, joining))
+        return makeStatusResponse(describe());
+    const bool known = findMember(m_group->status().members, joining.id) != nullptr;
+    const bool appended = m_group->changeMember(joining, true);
+    logEvent("member_joins",
+        { { "member", numberOf(joining.id) }, { "incarnation", joining.incarnation },
+            { "known", known ? "true" : "false" }, { "appended", appended ? "true" : "false" } });
+    if (appended && !known)
+        m_lastAdmission = monotonicNow();
+    updatePeers();
+    return makeStatusResponse(describe());
+}
+
+void control_node::noteStatus(const replica_status& status)
+{
+    logEvent("replica_status",
+        { { "role", static_cast<int>(status.role) }, { "term", status.term },
+            { "leader", status.leader ? numberOf(*status.leader) : 0 }, { "ready", status.ready ? "true" : "false" },
+            { "voters", status.members.voters.size() }, { "learners", status.members.learners.size() },
+            { "commit", status.commitIndex } });
+    m_jobs->noteStatus(status);
+    updatePeers();
+}
+
+void control_node::updatePeers()
+{
+    std::vector<member_id> ids = m_relay->candidates();
+    for (const auto id : describe().members)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+    std::erase(ids, m_group->self().id);
+    std::vector<peer_address> peers;
+    for (const auto id : ids)
+        peers.push_back(addressOf(id));
+    if (peers == m_peers)
+        return;
+    m_peers = peers;
+    m_network->setPeers(std::move(peers));
+    const auto now = monotonicNow();
+    std::erase_if(
+        m_lostSince, [&](const auto& entry) { return !std::binary_search(ids.begin(), ids.end(), entry.first); });
+    // A new peer counts as lost until it is connected.
+    for (const auto id : ids)
+        m_lostSince.emplace(id, now);
+}
+
+void control_node::scheduleTick()
+{
+    m_timer->tick.expires_after(tickInterval);
+    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_stopped)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void control_node::tick()
+{
+    const auto now = monotonicNow();
+    joinIfNeeded(now);
+    if (mayServe())
+        removeLost(now);
+}
+
+void control_node::joinIfNeeded(log_time now)
+{
+    const auto status = m_group->status();
+    const bool listed = isListed(status.members, m_group->self());
+    if (status.leader)
+        m_lastLed = now;
+    if (listed && now - m_lastLed < leaderlessTime)
+        return;
+    if (now - m_lastJoin < joinInterval)
+        return;
+    m_lastJoin = now;
+    control_call call;
+    call.request = makeJoinRequest(m_group->self());
+    call.deadline = now + joinInterval * 2;
+    for (const auto id : m_relay->candidates())
+        m_network->forward(numberOf(id), call, [](const forward_outcome&) {});
+}
+
+void control_node::removeLost(log_time now)
+{
+    const auto members = m_group->status().members;
+    const auto needed = 2 * m_settings.toleratedLosses + 1;
+    if (members.voters.size() <= needed)
+        return;
+    const bool replaced = m_lastAdmission.time_since_epoch().count() != 0 && now - m_lastAdmission < recentAdmission;
+    const auto patience = replaced ? replaceTime : removeTime;
+    for (const auto& voter : members.voters) {
+        const auto lost = m_lostSince.find(voter.id);
+        if (voter.id == m_group->self().id || lost == m_lostSince.end() || now - lost->second < patience)
+            continue;
+        if (m_group->removeMember(voter.id)) {
+            logEvent("member_removed",
+                { { "member", numberOf(voter.id) },
+                    { "lost_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - lost->second).count() } },
+                log_level::Warning);
+            return;
+        }
+    }
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/control_node.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "chervilport/control/batch_controller.h"
+#include "chervilport/control/leader_relay.h"
+#include "chervilport/control/node_settings.h"
+#include "chervilport/control/worker_port.h"
+#include "chervilport/instance/control_call.h"
+#include "chervilport/instance/replica_group.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class instance_storage;
+class peer_network;
+
+/// An instance of the control group: a replica of the jobs that can become the leader. All functions are called on the
+/// control thread.
+class control_node : public std::enable_shared_from_this<control_node> {
+public:
+    /// Serves a call on the leader.
+    using serve_function = std::function<void(std::shared_ptr<control_call>)>;
+
+    /// Creates an instance that is not started. Throws chervilport_error `StorageFailure`.
+    control_node(asio::io_context&, const node_settings&, worker_port, serve_function);
+    ~control_node();
+
+    /// Loads the state, listens for other instances and takes part. Throws chervilport_error.
+    void start();
+
+    /// Takes other seeds.
+    void setSeeds(const std::vector<peer_address>&);
+
+    /// Hands leadership over, if held, and calls `done` when that is settled or after a bounded time.
+    void prepareStop(std::function<void()> done);
+
+    /// Ends all work.
+    void stop();
+
+    /// Serves a call here when this instance leads, or passes it on to the leader. `name` identifies it in the log.
+    void dispatch(std::shared_ptr<control_call>, std::string name);
+
+    /// Returns whether this instance is leader, has applied everything, and no other one can lead.
+    bool mayServe() const;
+
+    /// Returns whether the agreed state here has the worker's report, so that nothing needs to be told to the leader.
+    bool hasReport(const batch::worker_report&) const;
+
+    /// Returns the address of the leader, if it is known and is another instance.
+    std::optional<std::string> leaderIp() const;
+
+    /// Returns the jobs.
+    batch_controller& jobs() { return *m_jobs; }
+
+private:
+    struct timer;
+
+    void serveFromPeer(const std::shared_ptr<control_call>&);
+    bool serveCluster(const std::shared_ptr<control_call>&);
+    http_response admit(const member& joining);
+    cluster_status describe() const;
+    void noteStatus(const replica_status&);
+    void updatePeers();
+    void scheduleTick();
+    void tick();
+    void joinIfNeeded(log_time now);
+    void removeLost(log_time now);
+
+    asio::io_context& m_context;
+    node_settings m_settings;
+    serve_function m_serve;
+    std::unique_ptr<timer> m_timer;
+    std::unique_ptr<instance_storage> m_storage;
+    std::shared_ptr<peer_network> m_network;
+    std::shared_ptr<replica_group> m_group;
+    std::shared_ptr<batch_controller> m_jobs;
+    std::shared_ptr<leader_relay> m_relay;
+    std::vector<peer_address> m_peers;
+    /// Members without a connection, and since when.
+    std::map<member_id, log_time> m_lostSince;
+    log_time m_lastAdmission;
+    log_time m_lastJoin;
+    log_time m_lastLed;
+    bool m_stopped = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/leader_relay.cpp
@@ -0,0 +1,261 @@
+#include "chervilport/control/leader_relay.h"
+
+#include "chervilport/instance/control_call.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/instance/peer_network.h"
+#include "chervilport/logging/event_log.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 100 };
+    /// A leader that was heard this long ago is asked again.
+    constexpr std::chrono::milliseconds probeInterval { 700 };
+    /// Pause between two rounds of questions to all candidates.
+    constexpr std::chrono::milliseconds searchInterval { 150 };
+    /// Time for the answer to a question for the status.
+    constexpr std::chrono::milliseconds statusTimeout { 600 };
+    /// Time after which an unanswered call is passed on again.
+    constexpr std::chrono::milliseconds attemptTimeout { 900 };
+    /// Without an answer for this long there is no path to a leader.
+    constexpr std::chrono::milliseconds leaderExpiry { 2'500 };
+    /// Pause after an instance that should lead refused to.
+    constexpr std::chrono::milliseconds refusedPause { 40 };
+
+    std::uint64_t numberOf(member_id id) { return static_cast<std::uint64_t>(id); }
+
+} // namespace
+
+struct leader_relay::timer {
+    explicit timer(asio::io_context& context)
+        : tick(context)
+    {
+    }
+    asio::steady_timer tick;
+};
+
+struct leader_relay::pending_call {
+    http_request request;
+    std::string name;
+    log_time deadline;
+    callback done;
+    log_time notBefore;
+    int attempts = 0;
+    bool maybeRun = false;
+    bool finished = false;
+};
+
+leader_relay::leader_relay(asio::io_context& context, peer_network& network, member_id self)
+    : m_context(context)
+    , m_network(network)
+    , m_self(self)
+    , m_timer(std::make_unique<timer>(context))
+    , m_leaderHeard(monotonicNow() - leaderExpiry)
+{
+}
+
+leader_relay::~leader_relay() = default;
+
+void leader_relay::start() { scheduleTick(); }
+
+void leader_relay::stop()
+{
+    m_stopped = true;
+    m_timer->tick.cancel();
+    for (const auto& call : std::exchange(m_waiting, {}))
+        finish(call, { std::nullopt, call->maybeRun });
+}
+
+void leader_relay::setSeeds(std::vector<member_id> seeds) { m_seeds = std::move(seeds); }
+
+std::vector<member_id> leader_relay::candidates() const
+{
+    auto all = m_members;
+    all.insert(all.end(), m_seeds.begin(), m_seeds.end());
+    std::sort(all.begin(), all.end());
+    all.erase(std::unique(all.begin(), all.end()), all.end());
+    std::erase(all, m_self);
+    return all;
+}
+
+bool leader_relay::hasLeader(log_time now) const { return m_leader && silence(now) < leaderExpiry; }
+
+void leader_relay::scheduleTick()
+{
+    m_timer->tick.expires_after(tickInterval);
+    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_stopped)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void leader_relay::tick()
+{
+    const auto now = monotonicNow();
+    if (!m_leader || silence(now) > 2 * probeInterval)
+        probeAll(now);
+    else if (silence(now) > probeInterval && now - m_lastProbe > probeInterval) {
+        m_lastProbe = now;
+        probe(*m_leader);
+    }
+    resumeWaiting();
+}
+
+void leader_relay::probeAll(log_time now)
+{
+    if (now - m_lastProbe < searchInterval)
+        return;
+    m_lastProbe = now;
+    for (const auto candidate : candidates())
+        probe(candidate);
+}
+
+void leader_relay::probe(member_id asked)
+{
+    control_call call;
+    call.request = makeStatusRequest();
+    call.deadline = monotonicNow() + statusTimeout;
+    m_network.forward(numberOf(asked), call, [weak = weak_from_this(), asked](const forward_outcome& outcome) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped || !outcome.response)
+            return;
+        if (const auto status = readStatusResponse(*outcome.response))
+            self->noteStatus(asked, *status);
+    });
+}
+
+void leader_relay::noteStatus(member_id from, const cluster_status& status)
+{
+    if (status.term >= m_term && !status.members.empty() && status.members != m_members) {
+        m_members = status.members;
+        if (membersChanged)
+            membersChanged(candidates());
+    }
+    if (status.serves && status.term >= m_term) {
+        m_term = status.term;
+        noteLeader(from);
+        return;
+    }
+    if (m_leader == from)
+        dropLeader(from, "no longer leads");
+    // A hint is followed at once; the instance itself says whether it serves.
+    if (!m_leader && status.leader && *status.leader != from && *status.leader != m_self)
+        probe(*status.leader);
+}
+
+void leader_relay::noteLeader(member_id leader)
+{
+    const auto now = monotonicNow();
+    if (m_leader != leader)
+        logEvent("leader_found",
+            { { "leader", numberOf(leader) }, { "term", m_term },
+                { "silence_ms", std::chrono::duration_cast<std::chrono::milliseconds>(silence(now)).count() } });
+    m_leader = leader;
+    m_leaderHeard = now;
+    resumeWaiting();
+}
+
+void leader_relay::dropLeader(member_id leader, const char* reason)
+{
+    if (m_leader != leader)
+        return;
+    logEvent("leader_dropped", { { "leader", numberOf(leader) }, { "reason", reason } }, log_level::Warning);
+    m_leader.reset();
+    probeAll(monotonicNow());
+}
+
+void leader_relay::relay(http_request request, std::string name, log_time deadline, callback done)
+{
+    auto call = std::make_shared<pending_call>();
+    call->request = std::move(request);
+    call->name = std::move(name);
+    call->deadline = deadline;
+    call->done = std::move(done);
+    tryNext(call);
+}
+
+void leader_relay::tryNext(const std::shared_ptr<pending_call>& call)
+{
+    const auto now = monotonicNow();
+    if (m_stopped || now >= call->deadline) {
+        finish(call, { std::nullopt, call->maybeRun });
+        return;
+    }
+    if (!m_leader || now < call->notBefore) {
+        m_waiting.push_back(call);
+        return;
+    }
+    ++call->attempts;
+    const auto asked = *m_leader;
+    control_call attempt;
+    attempt.request = call->request;
+    attempt.deadline = std::min(call->deadline, now + attemptTimeout);
+    m_network.forward(numberOf(asked), attempt, [weak = weak_from_this(), call, asked](const forward_outcome& outcome) {
+        if (const auto self = weak.lock())
+            self->handleOutcome(call, asked, outcome);
+    });
+}
+
+void leader_relay::handleOutcome(
+    const std::shared_ptr<pending_call>& call, member_id asked, const forward_outcome& outcome)
+{
+    const auto now = monotonicNow();
+    if (!outcome.response) {
+        call->maybeRun = call->maybeRun || !outcome.notRun;
+        logEvent("relay_attempt_failed",
+            { { "request", call->name }, { "leader", numberOf(asked) }, { "attempt", call->attempts },
+                { "not_run", outcome.notRun ? "true" : "false" }, { "reason", outcome.reason } },
+            log_level::Warning);
+        dropLeader(asked, "no answer");
+        tryNext(call);
+        return;
+    }
+    if (isNotLeaderResponse(*outcome.response)) {
+        dropLeader(asked, "refused to lead");
+        if (const auto named = leaderNamedIn(*outcome.response); named && *named != asked && *named != m_self)
+            probe(*named);
+        call->notBefore = now + refusedPause;
+        tryNext(call);
+        return;
+    }
+    if (isOutcomeUnknownResponse(*outcome.response)) {
+        call->maybeRun = true;
+        call->notBefore = now + refusedPause;
+        tryNext(call);
+        return;
+    }
+    m_leaderHeard = now;
+    finish(call, { outcome.response, call->maybeRun });
+}
+
+void leader_relay::finish(const std::shared_ptr<pending_call>& call, relay_outcome outcome)
+{
+    if (std::exchange(call->finished, true))
+        return;
+    if (!outcome.response)
+        logEvent("relay_gave_up",
+            { { "request", call->name }, { "attempts", call->attempts },
+                { "maybe_run", outcome.maybeRun ? "true" : "false" },
+                { "leader", m_leader ? numberOf(*m_leader) : 0 } },
+            log_level::Warning);
+    call->done(std::move(outcome));
+}
+
+void leader_relay::resumeWaiting()
+{
+    if (m_waiting.empty())
+        return;
+    for (const auto& call : std::exchange(m_waiting, {}))
+        tryNext(call);
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/leader_relay.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "chervilport/consensus/member_id.h"
+#include "chervilport/control/cluster_calls.h"
+#include "chervilport/core/log_time.h"
+#include "chervilport/http/http_message.h"
+#include "chervilport/instance/forward_outcome.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace asio {
+class io_context;
+}
+
+namespace chervilport {
+
+class peer_network;
+
+/// How a relayed call ended.
+struct relay_outcome {
+    /// Answer of the leader, if one came in time.
+    std::optional<http_response> response;
+    /// Without an answer: whether the call may have been carried out, or still will be.
+    bool maybeRun = false;
+};
+
+/// Finds the leader of the control group and passes calls on to it until one is answered or its time is up. A call can
+/// reach several leaders one after the other, so every call that goes this way is idempotent. All functions are called
+/// on the control thread.
+class leader_relay : public std::enable_shared_from_this<leader_relay> {
+public:
+    /// Takes the end of a call; called once.
+    using callback = std::function<void(relay_outcome)>;
+
+    /// Creates a relay that uses the network; `self` is never asked.
+    leader_relay(asio::io_context&, peer_network&, member_id self);
+    ~leader_relay();
+
+    /// Begins to look for a leader.
+    void start();
+
+    /// Ends all calls without an answer.
+    void stop();
+
+    /// Sets the instances that can be asked besides those that the group itself names.
+    void setSeeds(std::vector<member_id>);
+
+    /// Passes a call on; `name` identifies it in the log.
+    void relay(http_request, std::string name, log_time deadline, callback);
+
+    /// Returns whether a serving leader answered lately.
+    bool hasLeader(log_time now) const;
+
+    /// Returns how long ago a serving leader answered.
+    log_duration silence(log_time now) const { return now - m_leaderHeard; }
+
+    /// Returns the leader that answered last.
+    std::optional<member_id> leader() const { return m_leader; }
+
+    /// Returns the instances that can be asked.
+    std::vector<member_id> candidates() const;
+
+    /// Is called when the members that the group names have changed.
+    std::function<void(const std::vector<member_id>&)> membersChanged;
+
+private:
+    struct timer;
+    struct pending_call;
+
+    void scheduleTick();
+    void tick();
+    void probe(member_id);
+    void probeAll(log_time now);
+    void noteStatus(member_id from, const cluster_status&);
+    void noteLeader(member_id);
+    void dropLeader(member_id, const char* reason);
+    void tryNext(const std::shared_ptr<pending_call>&);
+    void handleOutcome(const std::shared_ptr<pending_call>&, member_id asked, const forward_outcome&);
+    void finish(const std::shared_ptr<pending_call>&, relay_outcome);
+    void resumeWaiting();
+
+    asio::io_context& m_context;
+    peer_network& m_network;
+    member_id m_self;
+    std::unique_ptr<timer> m_timer;
+    std::vector<member_id> m_seeds;
+    std::vector<member_id> m_members;
+    std::optional<member_id> m_leader;
+    std::uint64_t m_term = 0;
+    log_time m_leaderHeard;
+    log_time m_lastProbe;
+    std::list<std::shared_ptr<pending_call>> m_waiting;
+    bool m_stopped = false;
+};
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/worker_clock.cpp
@@ -0,0 +1,43 @@
+#include "chervilport/control/worker_clock.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chervilport {
+
+namespace {
+
+    /// A worker's clock can be slow by this share, so that its leases last longer than the leader's clock says.
+    constexpr double slowestClockRate = 0.98;
+    /// Added to the end of a lease for rounding and timers, in milliseconds.
+    constexpr std::int64_t leaseSlackMs = 100;
+
+    std::int64_t elapsedMs(log_time from, log_time to)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+    }
+
+} // namespace
+
+void noteReading(worker_clock& clock, std::int64_t readingMs, log_time now)
+{
+    if (clock.readingMs && readingMs <= *clock.readingMs)
+        return;
+    clock.readingMs = readingMs;
+    clock.readAt = now;
+}
+
+std::int64_t grantLease(worker_clock& clock, std::chrono::milliseconds length, log_time now)
+{
+    assert(clock.readingMs);
+    // The worker's clock is at least as far as the last reading, so an estimate that lags makes the lease shorter.
+    const auto estimate = *clock.readingMs + elapsedMs(clock.readAt, now);
+    const auto until = estimate + length.count();
+    clock.grantedUntilMs = std::max(clock.grantedUntilMs, until);
+    const auto span = static_cast<double>(clock.grantedUntilMs - *clock.readingMs) / slowestClockRate;
+    const auto end = clock.readAt + std::chrono::milliseconds(static_cast<std::int64_t>(span) + leaseSlackMs);
+    clock.leaseEnd = std::max(clock.leaseEnd, end);
+    return until;
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/worker_session.cpp
@@ -0,0 +1,456 @@
+#include "chervilport/control/worker_session.h"
+
+#include "chervilport/batch/run_accounting.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "chervilport/logging/event_log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chervilport {
+
+namespace {
+
+    /// Length of a lease: long enough for a change of the leader, short enough that a lost worker's tasks run again
+    /// soon.
+    constexpr std::chrono::milliseconds leaseLength { 7'000 };
+    /// Longest time for which a look waits for an end; the lease is renewed as often.
+    constexpr std::chrono::milliseconds lookWait { 2'000 };
+    /// Pauses between looks without an answer.
+    constexpr std::chrono::milliseconds firstLookPause { 200 };
+    constexpr std::chrono::milliseconds longestLookPause { 1'600 };
+    /// Orders to start that are sent before the run is given up.
+    constexpr int startAttempts = 4;
+    /// Orders that provably did not leave this instance before the run is given to another worker.
+    constexpr int unsentAttempts = 2;
+    /// Time for which a worker that answers as unsound gets no new runs.
+    constexpr std::chrono::milliseconds unhealthyPause { 2'000 };
+    /// Time after which a run that a worker should have and does not list is taken as gone.
+    constexpr std::chrono::milliseconds missingTime { 50 };
+
+    std::string workerName(const batch::worker_record* worker)
+    {
+        return worker == nullptr ? "unknown" : worker->report.id;
+    }
+
+    const char* nameOf(worker_reply reply)
+    {
+        switch (reply) {
+        case worker_reply::Done:
+            return "done";
+        case worker_reply::Fenced:
+            return "fenced";
+        case worker_reply::OutdatedRun:
+            return "outdated_run";
+        case worker_reply::TooLate:
+            return "too_late";
+        case worker_reply::NoRoom:
+            return "no_room";
+        case worker_reply::Refused:
+            return "refused";
+        case worker_reply::Unhealthy:
+            return "unhealthy";
+        case worker_reply::OtherLife:
+            return "other_life";
+        case worker_reply::NotSent:
+            return "not_sent";
+        case worker_reply::NoAnswer:
+            return "no_answer";
+        }
+        return "unknown";
+    }
+
+    const char* nameOf(batch::run_end_kind kind)
+    {
+        switch (kind) {
+        case batch::run_end_kind::Done:
+            return "done";
+        case batch::run_end_kind::Failed:
+            return "failed";
+        case batch::run_end_kind::Stopped:
+            return "stopped";
+        case batch::run_end_kind::Lapsed:
+            return "lapsed";
+        case batch::run_end_kind::Broken:
+            return "broken";
+        case batch::run_end_kind::Alone:
+            return "alone";
+        case batch::run_end_kind::NotStarted:
+            return "not_started";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+worker_session::worker_session(session_host host, batch::worker_number worker, log_time leaseEnd)
+    : m_host(std::move(host))
+    , m_worker(worker)
+    , m_now(monotonicNow())
+{
+    m_clock.leaseEnd = leaseEnd;
+}
+
+worker_session::~worker_session() = default;
+
+const batch::worker_record* worker_session::record() const { return batch::findWorker(m_host.state(), m_worker); }
+
+worker_target worker_session::target() const
+{
+    const auto* const worker = record();
+    return worker == nullptr ? worker_target {} : worker_target { worker->report.address, worker->report.id };
+}
+
+void worker_session::open()
+{
+    for (const auto& [id, job] : m_host.state().jobs) {
+        if (job.activeRuns == 0)
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    if (tasks[i].worker != m_worker)
+                        continue;
+                    run_tracker tracker { { { id, number, step, i }, tasks[i].lastRun } };
+                    tracker.stopWanted = job.phase != batch::job_phase::Active;
+                    m_runs.emplace(tracker.run, std::move(tracker));
+                }
+            }
+        }
+    }
+    look();
+}
+
+void worker_session::close() { m_closed = true; }
+
+void worker_session::startRun(const batch::run_ref& run)
+{
+    auto& tracker = m_runs[run];
+    tracker.run = run;
+    if (m_looked)
+        sendStart(tracker);
+    if (!m_lookInFlight)
+        look();
+}
+
+void worker_session::stopRun(const batch::run_ref& run)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || found->second.stopWanted)
+        return;
+    found->second.stopWanted = true;
+    sendStop(found->second);
+}
+
+void worker_session::forgetRun(const batch::run_ref& run) { m_runs.erase(run); }
+
+void worker_session::tick(log_time now)
+{
+    m_now = now;
+    if (m_closed || m_lifeEnded)
+        return;
+    settleExpired();
+    for (auto& [run, tracker] : m_runs) {
+        if (tracker.phase == start_phase::Retry && m_looked && !tracker.stopWanted)
+            sendStart(tracker);
+        else if (tracker.stopWanted && !tracker.stopConfirmed)
+            sendStop(tracker);
+    }
+    const bool mustAcknowledge = m_listed > m_acknowledged && m_proposalsOpen == 0;
+    const bool wanted = !m_looked || !m_runs.empty() || mustAcknowledge || m_lookAgain || m_failedLooks > 0;
+    if (wanted && !m_lookInFlight && now >= m_nextLook)
+        look();
+}
+
+void worker_session::look()
+{
+    if (m_closed || m_lifeEnded || m_lookInFlight || m_proposalsOpen > 0 || !m_host.mayAct() || record() == nullptr)
+        return;
+    const auto now = monotonicNow();
+    look_order order;
+    order.fence = m_host.term;
+    m_acknowledged = std::max(m_acknowledged, m_listed);
+    order.acknowledgedEnd = m_acknowledged;
+    if (m_clock.readingMs && !m_runs.empty())
+        order.leaseUntilMs = grantLease(m_clock, leaseLength, now);
+    if (m_looked && m_failedLooks == 0 && !m_runs.empty() && !m_lookAgain)
+        order.wait = lookWait;
+    m_lookInFlight = true;
+    m_lookAgain = false;
+    m_host.port->look(target(), order, [self = shared_from_this(), now](const worker_look& answer) {
+        self->m_lookInFlight = false;
+        if (!self->m_closed && !self->m_lifeEnded)
+            self->handleLook(answer, now);
+    });
+}
+
+void worker_session::noteResult(const worker_result& result)
+{
+    m_now = monotonicNow();
+    if (result.clockMs)
+        noteReading(m_clock, *result.clockMs, m_now);
+}
+
+void worker_session::handleLook(const worker_look& answer, log_time sentAt)
+{
+    noteResult(answer.result);
+    if (answer.result.reply != worker_reply::Done) {
+        handleFailedLook(answer.result);
+        return;
+    }
+    const auto* const worker = record();
+    if (worker == nullptr)
+        return;
+    if (answer.born != 0 && worker->report.born != 0 && answer.born != worker->report.born) {
+        if (answer.born > worker->report.born)
+            endLife("restarted");
+        return;
+    }
+    const bool wasUsable = isUsable();
+    if (!m_looked || m_failedLooks > 0)
+        logEvent("worker_reached",
+            { { "worker", worker->report.id }, { "term", m_host.term }, { "running", answer.running.size() },
+                { "ended", answer.ended.size() } });
+    m_looked = true;
+    m_failedLooks = 0;
+    m_nextLook = m_now;
+    settleEnds(answer);
+    settleRunning(answer);
+    settleMissing(answer, sentAt);
+    for (auto& [run, tracker] : m_runs) {
+        if (tracker.phase == start_phase::Unsent && !tracker.stopWanted && !tracker.endProposed)
+            sendStart(tracker);
+    }
+    if (!wasUsable)
+        m_host.changed();
+    const bool mustAcknowledge = m_listed > m_acknowledged;
+    if (m_proposalsOpen == 0 && (!m_runs.empty() || mustAcknowledge))
+        look();
+}
+
+void worker_session::handleFailedLook(const worker_result& result)
+{
+    if (result.reply == worker_reply::OtherLife) {
+        endLife("other life at its address");
+        return;
+    }
+    ++m_failedLooks;
+    if (m_failedLooks == 1) {
+        logEvent("worker_unreachable",
+            { { "worker", workerName(record()) }, { "reply", nameOf(result.reply) }, { "detail", result.detail },
+                { "runs", m_runs.size() } },
+            log_level::Warning);
+        m_host.changed();
+    }
+    auto pause = firstLookPause * (1 << std::min(m_failedLooks - 1, 4));
+    m_nextLook = m_now + std::min<log_duration>(pause, longestLookPause);
+}
+
+void worker_session::settleEnds(const worker_look& answer)
+{
+    for (const auto& row : answer.ended) {
+        if (row.number <= m_acknowledged)
+            continue;
+        m_listed = std::max(m_listed, row.number);
+        const auto found = m_runs.find(row.run);
+        if (found == m_runs.end() || found->second.endProposed)
+            continue;
+        if (!row.checkpoint.empty())
+            found->second.checkpoint = row.checkpoint;
+        proposeEnd(found->second, row.kind);
+    }
+}
+
+void worker_session::settleRunning(const worker_look& answer)
+{
+    for (const auto& row : answer.running) {
+        const auto found = m_runs.find(row.run);
+        if (found == m_runs.end()) {
+            stopStray(row.run);
+            continue;
+        }
+        auto& tracker = found->second;
+        if (tracker.phase != start_phase::Confirmed) {
+            tracker.phase = start_phase::Confirmed;
+            tracker.confirmedAt = m_now;
+        }
+        if (!row.checkpoint.empty())
+            tracker.checkpoint = row.checkpoint;
+    }
+}
+
+void worker_session::settleMissing(const worker_look& answer, log_time sentAt)
+{
+    std::set<batch::run_ref> listed;
+    for (const auto& row : answer.running)
+        listed.insert(row.run);
+    for (auto& [run, tracker] : m_runs) {
+        if (tracker.endProposed || listed.contains(run))
+            continue;
+        // A stop that was confirmed before the look began keeps the run from ever beginning.
+        if (tracker.stopConfirmed && tracker.stopConfirmedAt + missingTime < sentAt) {
+            proposeEnd(tracker,
+                tracker.phase == start_phase::Confirmed ? batch::run_end_kind::Lapsed
+                                                        : batch::run_end_kind::NotStarted);
+            continue;
+        }
+        if (tracker.phase == start_phase::Confirmed && tracker.confirmedAt + missingTime < sentAt) {
+            logEvent(
+                "run_missing", { { "run", describe(run) }, { "worker", workerName(record()) } }, log_level::Warning);
+            tracker.stopWanted = true;
+            sendStop(tracker);
+        }
+    }
+}
+
+void worker_session::settleExpired()
+{
+    if (m_failedLooks == 0 || m_runs.empty() || m_now <= m_clock.leaseEnd || !m_host.mayAct())
+        return;
+    for (auto& [run, tracker] : m_runs) {
+        if (!tracker.endProposed)
+            proposeEnd(tracker, batch::run_end_kind::Lapsed);
+    }
+}
+
+void worker_session::sendStart(run_tracker& tracker)
+{
+    const auto* const job = batch::findJob(m_host.state(), tracker.run.task.job);
+    if (job == nullptr || !m_clock.readingMs || !m_host.mayAct() || tracker.phase == start_phase::InFlight
+        || tracker.phase == start_phase::Confirmed || tracker.endProposed)
+        return;
+    const auto now = monotonicNow();
+    start_order order;
+    order.run = tracker.run;
+    order.spec = job->request.spec;
+    order.fence = m_host.term;
+    order.leaseUntilMs = grantLease(m_clock, leaseLength, now);
+    if (const auto* const task = batch::findTask(m_host.state(), tracker.run.task))
+        order.checkpoint = task->checkpoint;
+    ++tracker.attempts;
+    tracker.phase = start_phase::InFlight;
+    m_host.port->start(target(), order, [self = shared_from_this(), run = tracker.run](const worker_result& result) {
+        if (!self->m_closed && !self->m_lifeEnded)
+            self->handleStart(run, result);
+    });
+}
+
+void worker_session::handleStart(const batch::run_ref& run, const worker_result& result)
+{
+    noteResult(result);
+    if (result.reply == worker_reply::OtherLife) {
+        endLife("other life at its address");
+        return;
+    }
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    auto& tracker = found->second;
+    logEvent("run_start_sent",
+        { { "run", describe(run) }, { "worker", workerName(record()) }, { "reply", nameOf(result.reply) },
+            { "attempt", tracker.attempts }, { "detail", result.detail } });
+    // A look may have shown the run in the meantime.
+    if (tracker.phase != start_phase::InFlight)
+        return;
+    if (result.reply == worker_reply::Done || result.reply == worker_reply::OutdatedRun) {
+        tracker.phase = start_phase::Confirmed;
+        tracker.confirmedAt = m_now;
+        if (!m_lookInFlight)
+            look();
+        return;
+    }
+    retryOrAbandon(tracker, result);
+}
+
+void worker_session::retryOrAbandon(run_tracker& tracker, const worker_result& result)
+{
+    if (result.reply == worker_reply::Unhealthy) {
+        m_unhealthyUntil = m_now + unhealthyPause;
+        m_host.changed();
+    }
+    tracker.maybeSent = tracker.maybeSent || result.reply != worker_reply::NotSent;
+    if (!tracker.maybeSent && tracker.attempts >= unsentAttempts) {
+        proposeEnd(tracker, batch::run_end_kind::NotStarted);
+        return;
+    }
+    const bool worthRetry = result.reply == worker_reply::NoAnswer || result.reply == worker_reply::NotSent
+        || result.reply == worker_reply::TooLate || result.reply == worker_reply::Unhealthy;
+    if (worthRetry && tracker.attempts < startAttempts) {
+        tracker.phase = start_phase::Retry;
+        return;
+    }
+    tracker.phase = start_phase::Abandoned;
+    tracker.stopWanted = true;
+    sendStop(tracker);
+}
+
+void worker_session::sendStop(run_tracker& tracker)
+{
+    if (tracker.stopInFlight || tracker.stopConfirmed || tracker.endProposed || !m_host.mayAct())
+        return;
+    tracker.stopInFlight = true;
+    const stop_order order { tracker.run, m_host.term };
+    m_host.port->stop(target(), order, [self = shared_from_this(), run = tracker.run](const worker_result& result) {
+        if (self->m_closed || self->m_lifeEnded)
+            return;
+        self->noteResult(result);
+        if (result.reply == worker_reply::OtherLife) {
+            self->endLife("other life at its address");
+            return;
+        }
+        const auto found = self->m_runs.find(run);
+        if (found == self->m_runs.end())
+            return;
+        found->second.stopInFlight = false;
+        if (result.reply != worker_reply::Done)
+            return;
+        found->second.stopConfirmed = true;
+        found->second.stopConfirmedAt = self->m_now;
+        self->m_lookAgain = true;
+    });
+}
+
+void worker_session::stopStray(const batch::run_ref& run)
+{
+    logEvent("stray_run_stopped", { { "run", describe(run) }, { "worker", workerName(record()) } }, log_level::Warning);
+    m_host.port->stop(target(), { run, m_host.term }, [self = shared_from_this()](const worker_result& result) {
+        if (!self->m_closed)
+            self->noteResult(result);
+    });
+}
+
+void worker_session::proposeEnd(run_tracker& tracker, batch::run_end_kind kind)
+{
+    tracker.endProposed = true;
+    ++m_proposalsOpen;
+    logEvent("run_ended",
+        { { "run", describe(tracker.run) }, { "worker", workerName(record()) }, { "how", nameOf(kind) },
+            { "saved", tracker.checkpoint } });
+    m_host.ended(tracker.run, kind);
+    m_host.propose(batch::run_ended { tracker.run, m_worker, kind, tracker.checkpoint },
+        [self = shared_from_this(), run = tracker.run](proposal_result result) {
+            --self->m_proposalsOpen;
+            if (result == proposal_result::Committed)
+                self->m_runs.erase(run);
+            self->afterProposal();
+        });
+}
+
+void worker_session::afterProposal()
+{
+    if (m_proposalsOpen == 0 && !m_closed && m_looked && m_failedLooks == 0)
+        look();
+}
+
+void worker_session::endLife(const char* reason)
+{
+    if (m_lifeEnded)
+        return;
+    m_lifeEnded = true;
+    logEvent("worker_life_ended", { { "worker", workerName(record()) }, { "reason", reason } }, log_level::Warning);
+    m_host.propose(batch::worker_ended { m_worker }, [](proposal_result) {});
+    m_host.changed();
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/worker_session.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "chervilport/batch/worker_record.h"
+#include "chervilport/control/run_tracker.h"
+#include "chervilport/control/session_host.h"
+#include "chervilport/control/worker_clock.h"
+
+#include <map>
+#include <memory>
+
+namespace chervilport {
+
+/// The leader's dealings with one life of a worker: starts and stops runs, renews the lease, and proposes the ends that
+/// the worker lists. It keeps itself alive while calls are on their way; after `close` it does nothing more.
+class worker_session : public std::enable_shared_from_this<worker_session> {
+public:
+    /// Creates a session; `leaseEnd` is the local time by which leases of earlier leaders have ended.
+    worker_session(session_host, batch::worker_number, log_time leaseEnd);
+    ~worker_session();
+
+    /// Takes over the active runs that the state has on this worker, and looks at it.
+    void open();
+
+    /// Ends the session.
+    void close();
+
+    /// Starts a run that was committed just now.
+    void startRun(const batch::run_ref&);
+
+    /// Stops a run.
+    void stopRun(const batch::run_ref&);
+
+    /// Forgets a run whose end was committed.
+    void forgetRun(const batch::run_ref&);
+
+    /// Returns whether runs may be started: the worker answered in this term, and lately when it was asked.
+    bool isUsable() const { return m_looked && m_failedLooks == 0 && m_unhealthyUntil <= m_now; }
+
+    /// Lets time pass: repeats what had no answer.
+    void tick(log_time now);
+
+private:
+    const batch::worker_record* record() const;
+    worker_target target() const;
+    void look();
+    void handleLook(const worker_look&, log_time sentAt);
+    void handleFailedLook(const worker_result&);
+    void noteResult(const worker_result&);
+    void settleEnds(const worker_look&);
+    void settleRunning(const worker_look&);
+    void settleMissing(const worker_look&, log_time sentAt);
+    void settleExpired();
+    void sendStart(run_tracker&);
+    void handleStart(const batch::run_ref&, const worker_result&);
+    void retryOrAbandon(run_tracker&, const worker_result&);
+    void sendStop(run_tracker&);
+    void stopStray(const batch::run_ref&);
+    void proposeEnd(run_tracker&, batch::run_end_kind);
+    void afterProposal();
+    void endLife(const char* reason);
+    bool isClosed() const { return m_closed; }
+
+    session_host m_host;
+    batch::worker_number m_worker;
+    worker_clock m_clock;
+    std::map<batch::run_ref, run_tracker> m_runs;
+    log_time m_now;
+    log_time m_nextLook;
+    log_time m_unhealthyUntil;
+    std::uint64_t m_acknowledged = 0;
+    std::uint64_t m_listed = 0;
+    int m_failedLooks = 0;
+    int m_proposalsOpen = 0;
+    bool m_looked = false;
+    bool m_lookInFlight = false;
+    bool m_lookAgain = false;
+    bool m_closed = false;
+    bool m_lifeEnded = false;
+};
+
+} // namespace chervilport
--- a/chervilport/core/error_kind.cpp
+++ b/chervilport/core/error_kind.cpp
@@ -14,6 +14,7 @@
         { error_kind::Unauthenticated, "unauthenticated", 401, 3, run_outcome::NotRun, false },
         { error_kind::Forbidden, "forbidden", 403, 3, run_outcome::NotRun, false },
         { error_kind::NotFound, "not_found", 404, 4, run_outcome::NotRun, false },
+        { error_kind::Gone, "gone", 410, 4, run_outcome::NotRun, false },
         { error_kind::VersionConflict, "version_conflict", 409, 5, run_outcome::NotRun, false },
         { error_kind::KeyReused, "key_reused", 422, 5, run_outcome::NotRun, false },
         { error_kind::TooLarge, "too_large", 413, 2, run_outcome::NotRun, false },
--- a/chervilport/core/error_kind.h
+++ b/chervilport/core/error_kind.h
@@ -15,6 +15,7 @@
     Unauthenticated,
     Forbidden,
     NotFound,
+    Gone,
     VersionConflict,
     KeyReused,
     TooLarge,
--- /dev/null
+++ b/chervilport/entry/relayed_answer.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "chervilport/control/leader_relay.h"
+#include "chervilport/http/http_message.h"
+
+namespace chervilport {
+
+/// Returns the answer to a caller at the end of a relayed call. Without an answer of the leader a call that changes
+/// something is only reported as not run when no leader can have taken it up.
+http_response answerOf(const relay_outcome&, bool changesSomething);
+
+} // namespace chervilport
--- a/chervilport/instance/peer_network.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -3,6 +3,7 @@
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/read_secret.h"
 #include "chervilport/instance/split_address.h"
+#include "chervilport/logging/event_log.h"
 #include "chervilport/logging/log.h"
 #include "chervilport/transport/peer_transport.h"
 
@@ -82,6 +83,16 @@
     {
     }
 
+    /// Runs on the transport thread.
+    void noteConnection(member_id peer, bool connected)
+    {
+        const auto instance = static_cast<std::uint64_t>(peer);
+        logEvent(connected ? "peer_connected" : "peer_lost", { { "peer", instance } },
+            connected ? log_level::Info : log_level::Warning);
+        if (hooks.connectionChanged)
+            asio::post(context, [this, instance, connected] { hooks.connectionChanged(instance, connected); });
+    }
+
     asio::io_context& context;
     settings values;
     peer_network_hooks hooks;
@@ -112,12 +123,8 @@
     callbacks.onForward = [&self](member_id, const forward_call& call, const forward_responder& respond) {
         asio::post(self.context, [&self, call, respond] { self.hooks.serve(toControlCall(call, respond)); });
     };
-    callbacks.onConnected = [](member_id peer, std::uint64_t) {
-        logInfo(part, "connected to instance " + std::to_string(static_cast<std::uint64_t>(peer)));
-    };
-    callbacks.onDisconnected = [](member_id peer) {
-        logWarning(part, "lost the connection to instance " + std::to_string(static_cast<std::uint64_t>(peer)));
-    };
+    callbacks.onConnected = [&self](member_id peer, std::uint64_t) { self.noteConnection(peer, true); };
+    callbacks.onDisconnected = [&self](member_id peer) { self.noteConnection(peer, false); };
     callbacks.onLog = [](const std::string& line) { logInfo(part, line); };
     self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks));
 }
@@ -138,6 +145,11 @@
     m_implementation->transport->start(own.ip, own.port, std::move(peers));
 }
 
+void peer_network::setPeers(std::vector<peer_address> peers)
+{
+    m_implementation->transport->setPeers(std::move(peers));
+}
+
 void peer_network::stop() { m_implementation->transport->stop(); }
 
 void peer_network::send(replication_scope scope, std::vector<message> messages)
--- a/chervilport/instance/peer_network.h
+++ b/chervilport/instance/peer_network.h
@@ -4,6 +4,7 @@
 #include "chervilport/instance/forward_outcome.h"
 #include "chervilport/settings/settings.h"
 #include "chervilport/transport/envelope.h"
+#include "chervilport/transport/peer_address.h"
 #include "chervilport/transport/transport_counters.h"
 
 #include <cstdint>
@@ -30,6 +31,8 @@
     std::function<void(std::uint64_t instance, std::uint64_t version)> observeConfiguration;
     /// Answers a call that a peer forwarded.
     std::function<void(std::shared_ptr<control_call>)> serve;
+    /// Tells that the outgoing connection to a peer was established or lost; may be empty.
+    std::function<void(std::uint64_t instance, bool connected)> connectionChanged = {};
 };
 
 /// The link of the control thread to the other instances over peer_transport. All functions are called on that thread.
@@ -42,6 +45,9 @@
     /// Starts to listen and to connect to the instances of the settings. Throws chervilport_error.
     void start();
 
+    /// Replaces the peers. One that stays keeps its connection.
+    void setPeers(std::vector<peer_address>);
+
     /// Ends all connections.
     void stop();
 
--- a/chervilport/logging/log.cpp
+++ b/chervilport/logging/log.cpp
@@ -1,6 +1,22 @@
 #include "chervilport/logging/log.h"
 
+#include "chervilport/logging/line_writer.h"
+
+#include <cstdlib>
 #include <easylogging++.h>
+#include <memory>
+
+namespace {
+
+/// easylogging++ starts `whoami` and `hostname` while its static objects are built when these variables are unset. A
+/// process of this system starts no other, so they are set first, in the same translation unit.
+const bool identityIsSet = [] {
+    setenv("USER", "chervilport", 0);
+    setenv("HOSTNAME", "localhost", 0);
+    return true;
+}();
+
+} // namespace
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -8,6 +24,25 @@
 
 namespace {
 
+    constexpr int standardOutput = 1;
+
+    /// Passes the formatted lines of easylogging++ to the writer of standard output.
+    class output_callback : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            const auto* const message = data->logMessage();
+            writer().write(message->logger()->logBuilder()->build(message, true));
+        }
+
+    private:
+        static line_writer& writer()
+        {
+            static line_writer output(standardOutput);
+            return output;
+        }
+    };
+
     void disableBelow(el::Configurations& configurations, log_level lowest)
     {
         configurations.set(
@@ -18,6 +53,14 @@
             el::Level::Warning, el::ConfigurationType::Enabled, lowest <= log_level::Warning ? "true" : "false");
     }
 
+    std::string_view joinPart(std::string& buffer, std::string_view part, std::string_view line)
+    {
+        buffer = part;
+        buffer += ": ";
+        buffer += line;
+        return buffer;
+    }
+
 } // namespace
 
 void setUpLog(log_level lowest, const std::string& file)
@@ -26,28 +69,37 @@
     configurations.setToDefault();
     configurations.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
     configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-    configurations.setGlobally(el::ConfigurationType::ToFile, "true");
-    configurations.setGlobally(el::ConfigurationType::Filename, file.empty() ? "/dev/stderr" : file);
+    configurations.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+    if (!file.empty())
+        configurations.setGlobally(el::ConfigurationType::Filename, file);
     disableBelow(configurations, lowest);
     el::Loggers::reconfigureAllLoggers(configurations);
+    if (file.empty())
+        el::Helpers::installLogDispatchCallback<output_callback>("standard output");
 }
 
-void writeLog(log_level level, std::string_view part, std::string_view line)
+void writeLog(log_level level, std::string_view line)
 {
     switch (level) {
     case log_level::Debug:
-        LOG(DEBUG) << part << ": " << line;
+        LOG(DEBUG) << line;
         return;
     case log_level::Info:
-        LOG(INFO) << part << ": " << line;
+        LOG(INFO) << line;
         return;
     case log_level::Warning:
-        LOG(WARNING) << part << ": " << line;
+        LOG(WARNING) << line;
         return;
     case log_level::Error:
-        LOG(ERROR) << part << ": " << line;
+        LOG(ERROR) << line;
         return;
     }
 }
 
+void writeLog(log_level level, std::string_view part, std::string_view line)
+{
+    std::string buffer;
+    writeLog(level, joinPart(buffer, part, line));
+}
+
 } // namespace chervilport
--- a/chervilport/logging/log.h
+++ b/chervilport/logging/log.h
@@ -8,9 +8,12 @@
 namespace chervilport {
 
 /// Sets up the log of the process. Call once before other threads start.
-/// `file` is the path of the log file; the log goes to standard error when it is empty.
+/// `file` is the path of the log file; the log goes to standard output when it is empty.
 void setUpLog(log_level lowest, const std::string& file);
 
+/// Writes a line that is formed already.
+void writeLog(log_level, std::string_view line);
+
 /// Writes a line. `part` is the fixed prefix of the part of the program, for example "jobs".
 void writeLog(log_level, std::string_view part, std::string_view line);
 
