Find a reused connection by its port, keep members that stay connected

Cause: every reuse of a connection to a worker asked the system for the addresses of all open sockets, so time grew with the number of workers; and a change of the peers noted connected ones as lost, so that voters were removed and joined again without end.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -295,14 +295,16 @@
         peers.push_back(addressOf(id));
     if (peers == m_peers)
         return;
-    m_peers = peers;
-    m_network->setPeers(std::move(peers));
+    // Only a new peer counts as lost until it is connected; one that stays keeps its connection.
     const auto now = monotonicNow();
+    for (const auto& peer : peers) {
+        if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end())
+            m_lostSince.emplace(peer.id, now);
+    }
     std::erase_if(
         m_lostSince, [&](const auto& entry) { return !std::binary_search(ids.begin(), ids.end(), entry.first); });
-    // A new peer counts as lost until it is connected.
-    for (const auto id : ids)
-        m_lostSince.emplace(id, now);
+    m_peers = peers;
+    m_network->setPeers(std::move(peers));
 }
 
 void control_node::scheduleTick()
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -82,7 +82,7 @@
     std::shared_ptr<batch_controller> m_jobs;
     std::shared_ptr<leader_relay> m_relay;
     std::vector<peer_address> m_peers;
-    /// Members without a connection, and since when.
+    /// Peers without a connection, and since when.
     std::map<member_id, log_time> m_lostSince;
     log_time m_lastAdmission;
     log_time m_lastJoin;
--- a/chervilport/http/curl_sockets.h
+++ b/chervilport/http/curl_sockets.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <unordered_map>
 
 namespace chervilport {
 
@@ -33,10 +35,14 @@
     using entry_ptr = std::shared_ptr<entry>;
 
     void waitFor(const entry_ptr&, bool forReading);
+    void indexEstablished();
 
     asio::io_context& m_context;
     ready_callback m_ready;
     std::map<int, entry_ptr> m_entries;
+    /// Established connections by local port, and the sockets that were not looked at yet.
+    std::unordered_map<std::uint16_t, int> m_byLocalPort;
+    std::set<int> m_unindexed;
 };
 
 } // namespace chervilport
