Stop a gang as a whole when a member is missing or has ended

Cause: members that had started waited for one whose worker had left, up to the bound, and ended alone; the rest of a gang kept its room after a member ended.

--- a/chervilport/batch/run_accounting.cpp
+++ b/chervilport/batch/run_accounting.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/batch/run_accounting.h"
 
 #include <cassert>
+#include <utility>
 
 namespace chervilport::batch {
 
@@ -57,27 +58,26 @@
     return made;
 }
 
-step_record* findStep(batch_state& state, const task_ref& task)
+const step_record* findStep(const batch_state& state, const task_ref& task)
 {
-    const auto job = state.jobs.find(task.job);
-    if (job == state.jobs.end())
+    const auto* const job = findJob(state, task.job);
+    if (job == nullptr)
         return nullptr;
-    const auto occurrence = job->second.occurrences.find(task.occurrence);
-    if (occurrence == job->second.occurrences.end() || task.step >= occurrence->second.steps.size())
+    const auto occurrence = job->occurrences.find(task.occurrence);
+    if (occurrence == job->occurrences.end() || task.step >= occurrence->second.steps.size())
         return nullptr;
     return &occurrence->second.steps[task.step];
 }
 
+step_record* findStep(batch_state& state, const task_ref& task)
+{
+    return const_cast<step_record*>(findStep(std::as_const(state), task));
+}
+
 const task_record* findTask(const batch_state& state, const task_ref& task)
 {
-    const auto* const job = findJob(state, task.job);
-    if (job == nullptr)
-        return nullptr;
-    const auto occurrence = job->occurrences.find(task.occurrence);
-    if (occurrence == job->occurrences.end() || task.step >= occurrence->second.steps.size())
-        return nullptr;
-    const auto& tasks = occurrence->second.steps[task.step].tasks;
-    return task.index < tasks.size() ? &tasks[task.index] : nullptr;
+    const auto* const step = findStep(state, task);
+    return step != nullptr && task.index < step->tasks.size() ? &step->tasks[task.index] : nullptr;
 }
 
 bool isActive(const batch_state& state, const run_ref& run, worker_number worker)
--- a/chervilport/batch/run_accounting.h
+++ b/chervilport/batch/run_accounting.h
@@ -11,6 +11,9 @@
 /// Returns the step of a task, or null when the job, the occurrence or the step is not there.
 step_record* findStep(batch_state&, const task_ref&);
 
+/// Returns the step of a task, or null when the job, the occurrence or the step is not there.
+const step_record* findStep(const batch_state&, const task_ref&);
+
 /// Returns the task, or null.
 const task_record* findTask(const batch_state&, const task_ref&);
 
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -19,6 +19,8 @@
     constexpr std::chrono::milliseconds tickInterval { 50 };
     /// Time from a change to the pass that takes it into account, so that changes that come together share a pass.
     constexpr std::chrono::milliseconds passDelay { 4 };
+    /// Share of the time that members wait for each other after which an incomplete gang is stopped.
+    constexpr int gangPatiencePercent = 55;
     /// Added to the leases that an earlier leader may have granted.
     constexpr std::chrono::milliseconds earlierLeaseSlack { 500 };
     /// A worker's clock can be slow by two percent: fifty parts of lease last at most 51.
@@ -78,6 +80,7 @@
             || std::holds_alternative<batch::run_ended>(command);
     if (mayStop)
         stopEndedJobs();
+    stopBrokenGangs(batch);
     requestPass();
 }
 
@@ -104,6 +107,7 @@
     m_leading = true;
     m_term = term;
     m_memory = {};
+    m_gangs = {};
     m_soundness.clear();
     m_passOpen = 0;
     m_passRequested = false;
@@ -158,6 +162,7 @@
         propose(std::move(command), std::move(done));
     };
     host.changed = [this] { requestPass(); };
+    host.started = [this](const batch::run_ref& run) { noteStartedRun(run); };
     host.ended = [this, number](const batch::run_ref& run, batch::run_end_kind kind) {
         m_memory.stopping.erase(run);
         if (noteEnd(m_soundness[number], kind, monotonicNow()))
@@ -186,6 +191,8 @@
     const auto sessions = m_sessions;
     for (const auto& [number, session] : sessions)
         session->tick(now);
+    for (const auto& gang : takeIncomplete(m_gangs, now, m_bounds.gangTime * gangPatiencePercent / 100))
+        stopGang(gang, "incomplete");
     requestPass();
 }
 
@@ -207,6 +214,56 @@
     }
 }
 
+void batch_controller::noteStartedRun(const batch::run_ref& run)
+{
+    const auto* const job = batch::findJob(m_state, run.task.job);
+    const auto* const step = batch::findStep(m_state, run.task);
+    if (job == nullptr || step == nullptr || !job->request.steps[run.task.step].gang)
+        return;
+    bool complete = true;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+        auto member = run;
+        member.task.index = i;
+        const auto session = m_sessions.find(step->tasks[i].worker);
+        complete = complete && session != m_sessions.end() && session->second->hasStarted(member);
+    }
+    noteStarted(m_gangs, run, complete, monotonicNow());
+}
+
+void batch_controller::stopGang(const gang_run& gang, const char* reason)
+{
+    const auto* const step = batch::findStep(m_state, gang.task);
+    if (step == nullptr)
+        return;
+    bool stopped = false;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+        auto member = gang;
+        member.task.index = i;
+        const auto session = m_sessions.find(step->tasks[i].worker);
+        if (session == m_sessions.end() || !batch::isActive(m_state, member, step->tasks[i].worker))
+            continue;
+        session->second->stopRun(member);
+        stopped = true;
+    }
+    if (stopped)
+        logEvent("gang_stopped", { { "gang", describe(gang) }, { "reason", reason } });
+}
+
+void batch_controller::stopBrokenGangs(const batch::command_batch& batch)
+{
+    for (const auto& command : batch.commands) {
+        const auto* const ended = std::get_if<batch::run_ended>(&command);
+        if (ended == nullptr || ended->kind == batch::run_end_kind::Done)
+            continue;
+        const auto* const job = batch::findJob(m_state, ended->run.task.job);
+        if (job == nullptr || !job->request.steps[ended->run.task.step].gang)
+            continue;
+        // The others would only wait for a member that is gone.
+        forgetGang(m_gangs, gangOf(ended->run));
+        stopGang(gangOf(ended->run), "member ended");
+    }
+}
+
 void batch_controller::requestPass()
 {
     if (m_passRequested || m_passOpen > 0 || !m_leading)
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -5,6 +5,7 @@
 #include "chervilport/batch/scheduling_pass.h"
 #include "chervilport/consensus/replica.h"
 #include "chervilport/control/command_queue.h"
+#include "chervilport/control/gang_watch.h"
 #include "chervilport/control/node_settings.h"
 #include "chervilport/control/worker_port.h"
 #include "chervilport/control/worker_session.h"
@@ -71,6 +72,9 @@
     void tick();
     void updateSessions();
     void stopEndedJobs();
+    void stopBrokenGangs(const batch::command_batch&);
+    void stopGang(const gang_run&, const char* reason);
+    void noteStartedRun(const batch::run_ref&);
     void requestPass();
     void pass();
     void startAssigned(const batch::command_batch&);
@@ -87,6 +91,7 @@
     std::map<batch::worker_number, std::shared_ptr<worker_session>> m_sessions;
     std::map<batch::worker_number, worker_soundness> m_soundness;
     batch::scheduling_memory m_memory;
+    gang_watch m_gangs;
     std::uint64_t m_term = 0;
     log_time m_leaseEnd;
     std::size_t m_passOpen = 0;
--- /dev/null
+++ b/chervilport/control/gang_watch.cpp
@@ -0,0 +1,34 @@
+#include "chervilport/control/gang_watch.h"
+
+namespace chervilport {
+
+gang_run gangOf(const batch::run_ref& member)
+{
+    auto gang = member;
+    gang.task.index = 0;
+    return gang;
+}
+
+void noteStarted(gang_watch& watch, const batch::run_ref& member, bool complete, log_time now)
+{
+    if (complete)
+        forgetGang(watch, gangOf(member));
+    else
+        watch.firstStarted.emplace(gangOf(member), now);
+}
+
+void forgetGang(gang_watch& watch, const gang_run& gang) { watch.firstStarted.erase(gang); }
+
+std::vector<gang_run> takeIncomplete(gang_watch& watch, log_time now, std::chrono::milliseconds patience)
+{
+    std::vector<gang_run> late;
+    std::erase_if(watch.firstStarted, [&](const auto& entry) {
+        if (now - entry.second < patience)
+            return false;
+        late.push_back(entry.first);
+        return true;
+    });
+    return late;
+}
+
+} // namespace chervilport
--- a/chervilport/control/session_host.h
+++ b/chervilport/control/session_host.h
@@ -33,6 +33,8 @@
     std::function<void(batch::batch_command, std::function<void(proposal_result)>)> propose;
     /// Tells that the session's worker may have become usable or unusable, or sound or unsound.
     std::function<void()> changed;
+    /// Tells that the worker has confirmed the start of a run.
+    std::function<void(const batch::run_ref&)> started;
     /// Tells how a run ended on the worker.
     std::function<void(const batch::run_ref&, batch::run_end_kind)> ended;
 };
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -143,6 +143,12 @@
     sendStop(found->second);
 }
 
+bool worker_session::hasStarted(const batch::run_ref& run) const
+{
+    const auto found = m_runs.find(run);
+    return found != m_runs.end() && found->second.phase == start_phase::Confirmed;
+}
+
 void worker_session::forgetRun(const batch::run_ref& run) { m_runs.erase(run); }
 
 void worker_session::tick(log_time now)
@@ -271,10 +277,8 @@
             continue;
         }
         auto& tracker = found->second;
-        if (tracker.phase != start_phase::Confirmed) {
-            tracker.phase = start_phase::Confirmed;
-            tracker.confirmedAt = m_now;
-        }
+        if (tracker.phase != start_phase::Confirmed)
+            confirm(tracker);
         if (!row.checkpoint.empty())
             tracker.checkpoint = row.checkpoint;
     }
@@ -354,8 +358,7 @@
     if (tracker.phase != start_phase::InFlight)
         return;
     if (result.reply == worker_reply::Done || result.reply == worker_reply::OutdatedRun) {
-        tracker.phase = start_phase::Confirmed;
-        tracker.confirmedAt = m_now;
+        confirm(tracker);
         if (!m_lookInFlight)
             look();
         return;
@@ -363,6 +366,13 @@
     retryOrAbandon(tracker, result);
 }
 
+void worker_session::confirm(run_tracker& tracker)
+{
+    tracker.phase = start_phase::Confirmed;
+    tracker.confirmedAt = m_now;
+    m_host.started(tracker.run);
+}
+
 void worker_session::retryOrAbandon(run_tracker& tracker, const worker_result& result)
 {
     if (result.reply == worker_reply::Unhealthy) {
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -33,6 +33,9 @@
     /// Forgets a run whose end was committed.
     void forgetRun(const batch::run_ref&);
 
+    /// Returns whether the worker has confirmed the start of a run in this term.
+    bool hasStarted(const batch::run_ref&) const;
+
     /// Returns whether runs may be started: the worker answered in this term, and lately when it was asked.
     bool isUsable() const { return m_looked && m_failedLooks == 0 && m_unhealthyUntil <= m_now; }
 
@@ -54,6 +57,7 @@
     void handleStart(const batch::run_ref&, const worker_result&);
     void retryOrAbandon(run_tracker&, const worker_result&);
     void sendStop(run_tracker&);
+    void confirm(run_tracker&);
     void stopStray(const batch::run_ref&);
     void proposeEnd(run_tracker&, batch::run_end_kind);
     void afterProposal();
