Order jobs by what they can still reach and keep workers for urgent ones

Change: job_urgency judges each ready step as in time, late or overdue from the objective of its queue and observed run times; urgent_reserve keeps whole workers, rack by rack, for the recent peak of urgent work.

--- /dev/null
+++ b/chervilport/batch/job_urgency.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/ready_step.h"
+#include "chervilport/batch/run_estimates.h"
+
+#include <cstdint>
+
+namespace chervilport::batch {
+
+/// What a job can still reach if its step starts now.
+enum class job_outlook : std::uint8_t {
+    /// It can be done within its latency objective.
+    InTime,
+    /// It is past that, but its result is still of some use.
+    Late,
+    /// Its result comes too late to be of use; it runs when nothing else needs the room.
+    Overdue,
+};
+
+/// Judges a ready step by its job's objective, its age and the work that is left.
+job_outlook judgeOutlook(const batch_state&, const run_estimates&, const ready_step&, std::int64_t nowMs);
+
+} // namespace chervilport::batch
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/batch/scheduling_pass.h"
 
 #include "chervilport/batch/guarantee_cover.h"
+#include "chervilport/batch/job_urgency.h"
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/worker_slot.h"
@@ -58,14 +59,27 @@
         return queue != nullptr ? queue->service : job.service;
     }
 
-    void sortByUrgency(const pass& current, std::vector<ready_step>& ready)
+    /// A ready step with what decides its turn.
+    struct ranked_step {
+        ready_step step;
+        bool covered = false;
+        job_outlook outlook = job_outlook::InTime;
+    };
+
+    std::vector<ranked_step> rankReadySteps(const pass& current)
     {
-        const auto key = [&](const ready_step& each) {
+        std::vector<ranked_step> ranked;
+        for (auto& each : listReadySteps(current.state, current.nowMs)) {
+            const auto outlook = judgeOutlook(current.state, current.memory.estimates, each, current.nowMs);
             const bool covered = current.covered.contains(each.job->request.id);
-            return std::tuple(!covered, each.job->priority, each.readySinceMs);
+            ranked.push_back({ std::move(each), covered, outlook });
+        }
+        const auto key = [](const ranked_step& each) {
+            return std::tuple(!each.covered, each.outlook, each.step.job->priority, each.step.readySinceMs);
         };
-        std::stable_sort(ready.begin(), ready.end(),
-            [&](const ready_step& left, const ready_step& right) { return key(left) < key(right); });
+        std::stable_sort(ranked.begin(), ranked.end(),
+            [&](const ranked_step& left, const ranked_step& right) { return key(left) < key(right); });
+        return ranked;
     }
 
     std::uint32_t nextRun(const ready_step& ready, std::uint32_t index)
@@ -136,15 +150,13 @@
 {
     forgetExpired(memory, nowMs);
     pass current { state, memory, nowMs, coveredJobs(state), makeSlots(state, conditions, memory), {} };
-    auto ready = listReadySteps(state, nowMs);
-    sortByUrgency(current, ready);
+    keepForUrgent(current.slots, notePeak(memory.urgentDemand, urgentDemand(state, current.slots), nowMs));
     std::vector<preemption_victim> victims;
     bool victimsListed = false;
     std::vector<unplaceable_size> unplaceable;
 
-    for (auto& each : ready) {
+    for (auto& [each, covered, outlook] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
-        const bool covered = current.covered.contains(each.job->request.id);
         if (!covered && isKnownUnplaceable(unplaceable, each, service))
             continue;
         const bool allowFar = covered || nowMs - each.readySinceMs > nearWaitMs;
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -2,7 +2,9 @@
 
 #include "chervilport/batch/batch_command.h"
 #include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/run_estimates.h"
 #include "chervilport/batch/task_ref.h"
+#include "chervilport/batch/urgent_reserve.h"
 
 #include <cstdint>
 #include <map>
@@ -33,6 +35,10 @@
     std::set<run_ref> stopping;
     /// Workers kept for jobs.
     std::map<worker_number, worker_reservation> reservations;
+    /// Observed run times.
+    run_estimates estimates;
+    /// What urgent work needed lately.
+    urgent_demand_window urgentDemand;
 };
 
 /// What a pass decided.
--- /dev/null
+++ b/chervilport/batch/urgent_reserve.cpp
@@ -0,0 +1,107 @@
+#include "chervilport/batch/urgent_reserve.h"
+
+#include "chervilport/batch/guarantee_cover.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+#include <vector>
+
+namespace chervilport::batch {
+
+namespace {
+
+    /// Time over which the peak is taken, in milliseconds: a few times the run time of short urgent jobs.
+    constexpr std::int64_t windowMs = 12'000;
+    /// Room for what comes beyond the peak.
+    constexpr double headroom = 1.15;
+    /// Share of the workers that is kept at least and at most.
+    constexpr double leastShare = 0.08;
+    constexpr double mostShare = 0.5;
+
+    resource_demand meanCapacity(const worker_slots& slots)
+    {
+        resource_demand sum;
+        std::int64_t count = 0;
+        for (const auto& slot : slots) {
+            addTimes(sum, slot.worker->report.capacity, 1);
+            ++count;
+        }
+        if (count > 0)
+            sum = { sum.milliCores / count, sum.memoryMb / count, sum.accelerators / count };
+        return sum;
+    }
+
+    double shareOf(std::int64_t amount, std::int64_t whole)
+    {
+        return whole <= 0 ? 0 : static_cast<double>(amount) / static_cast<double>(whole);
+    }
+
+    /// Share of a worker that a task takes in the resource it needs most of.
+    double dominantShare(const resource_demand& demand, const resource_demand& whole)
+    {
+        return std::max({ shareOf(demand.milliCores, whole.milliCores), shareOf(demand.memoryMb, whole.memoryMb),
+            shareOf(demand.accelerators, whole.accelerators) });
+    }
+
+    std::int64_t openTasks(const job_record& job, std::size_t step)
+    {
+        const auto count = static_cast<std::int64_t>(job.request.steps[step].count);
+        if (job.occurrences.empty())
+            return job.begun ? 0 : count;
+        std::int64_t open = 0;
+        for (const auto& [number, occurrence] : job.occurrences)
+            open += count - static_cast<std::int64_t>(occurrence.steps[step].doneCount);
+        return open;
+    }
+
+} // namespace
+
+double urgentDemand(const batch_state& state, const worker_slots& slots)
+{
+    const auto whole = meanCapacity(slots);
+    double sum = 0;
+    for (const auto& [id, job] : state.jobs) {
+        if (job.phase != job_phase::Active || job.priority != guaranteedPriority || job.request.repeatCount > 0)
+            continue;
+        for (std::size_t i = 0; i < job.request.steps.size(); ++i)
+            sum += dominantShare(chargedDemand(job.request.steps[i]), whole) * static_cast<double>(openTasks(job, i));
+    }
+    return sum;
+}
+
+double notePeak(urgent_demand_window& window, double workers, std::int64_t nowMs)
+{
+    auto& samples = window.samples;
+    while (!samples.empty() && samples.front().timeMs + windowMs < nowMs)
+        samples.pop_front();
+    while (!samples.empty() && samples.back().workers <= workers)
+        samples.pop_back();
+    samples.push_back({ nowMs, workers });
+    return samples.front().workers;
+}
+
+void keepForUrgent(worker_slots& slots, double peakWorkers)
+{
+    const auto total = static_cast<double>(slots.size());
+    const auto wanted = std::clamp(peakWorkers * headroom, total * leastShare, total * mostShare);
+    auto left = static_cast<std::int64_t>(std::ceil(wanted));
+    std::vector<std::size_t> order(slots.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::sort(order.begin(), order.end(), [&](std::size_t first, std::size_t second) {
+        const auto& a = slots[first].worker->report;
+        const auto& b = slots[second].worker->report;
+        return std::tie(a.rack, a.id) < std::tie(b.rack, b.id);
+    });
+    for (const auto each : order) {
+        if (left <= 0)
+            return;
+        if (!slots[each].usable)
+            continue;
+        slots[each].keptForUrgent = true;
+        --left;
+    }
+}
+
+} // namespace chervilport::batch
--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/batch/worker_slot.h"
 
+#include "chervilport/batch/guarantee_cover.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -27,10 +29,11 @@
     }
 
     /// Smaller is better: sound workers first, then the tightest fit, so that whole workers stay free for large tasks.
+    /// Kept workers come first: only urgent jobs get here with them, and they leave the others to the rest.
     auto rankOf(const worker_slot& slot, const resource_demand& demand)
     {
         const auto left = without(slot.free, demand);
-        return std::tuple(slot.failureWeight, left.accelerators, left.milliCores, left.memoryMb);
+        return std::tuple(slot.failureWeight, !slot.keptForUrgent, left.accelerators, left.milliCores, left.memoryMb);
     }
 
     std::optional<std::size_t> chooseSlot(
@@ -127,6 +130,8 @@
 {
     const auto& report = slot.worker->report;
     const auto& spec = specOf(ready);
+    if (slot.keptForUrgent && ready.job->priority != guaranteedPriority)
+        return false;
     return report.service == service && (spec.requiredLabel.empty() || hasLabel(report, spec.requiredLabel));
 }
 
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -23,6 +23,8 @@
     bool usable = false;
     /// Likelihood that runs fail there, in thousandths; lower is better.
     std::int32_t failureWeight = 0;
+    /// Whether only jobs of the highest priority may be placed here.
+    bool keptForUrgent = false;
     /// Job that the worker is kept for until its victims have stopped; empty for none.
     std::string reservedFor;
 };
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -69,6 +69,8 @@
 void batch_controller::apply(std::string_view payload)
 {
     const auto batch = batch::decodeBatch(payload);
+    if (m_leading)
+        noteRunTimes(batch);
     batch::applyBatch(m_state, batch);
     if (!m_leading)
         return;
@@ -84,6 +86,19 @@
     requestPass();
 }
 
+void batch_controller::noteRunTimes(const batch::command_batch& batch)
+{
+    for (const auto& command : batch.commands) {
+        const auto* const ended = std::get_if<batch::run_ended>(&command);
+        if (ended == nullptr || ended->kind != batch::run_end_kind::Done
+            || !batch::isActive(m_state, ended->run, ended->worker))
+            continue;
+        const auto& job = m_state.jobs.at(ended->run.task.job);
+        const auto startedMs = batch::findTask(m_state, ended->run.task)->startedMs;
+        batch::noteRunTime(m_memory.estimates, job.queue, batch.timeMs - startedMs);
+    }
+}
+
 std::string batch_controller::takeSnapshot() const { return batch::encodeState(m_state); }
 
 void batch_controller::loadSnapshot(std::string_view bytes) { m_state = batch::decodeState(bytes); }
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -77,6 +77,7 @@
     void noteStartedRun(const batch::run_ref&);
     void requestPass();
     void pass();
+    void noteRunTimes(const batch::command_batch&);
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
     session_host makeHost(batch::worker_number);
