Open kept workers to jobs that would starve in an idle pool

Change: a step that has waited 6 s may use kept workers while less than half of every resource of the pool is in use.

--- a/chervilport/batch/ready_step.h
+++ b/chervilport/batch/ready_step.h
@@ -22,6 +22,8 @@
     const step_record* progress = nullptr;
     /// Time from which the step could run, as far as known, Unix milliseconds.
     std::int64_t readySinceMs = 0;
+    /// Whether workers that are kept for urgent jobs can be used; decided by the pass.
+    bool mayUseKept = false;
 };
 
 /// Returns the specification of the step.
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -15,6 +15,8 @@
 
     /// A worker stays reserved this long for a job, in milliseconds: the time to stop runs and note their ends.
     constexpr std::int64_t reservationMs = 2'500;
+    /// In an idle pool, tasks wait this long before they take workers that are kept for urgent jobs, in milliseconds.
+    constexpr std::int64_t keptWaitMs = 6'000;
     /// Tasks wait this long for the rack where they are fast, in milliseconds.
     constexpr std::int64_t nearWaitMs = 3'000;
 
@@ -69,7 +71,10 @@
     std::vector<ranked_step> rankReadySteps(const pass& current)
     {
         std::vector<ranked_step> ranked;
+        const bool idle = isMostlyIdle(current.slots);
         for (auto& each : listReadySteps(current.state, current.nowMs)) {
+            const bool waited = current.nowMs - each.readySinceMs > keptWaitMs;
+            each.mayUseKept = each.job->priority == guaranteedPriority || (idle && waited);
             const auto outlook = judgeOutlook(current.state, current.memory.estimates, each, current.nowMs);
             const bool covered = current.covered.contains(each.job->request.id);
             ranked.push_back({ std::move(each), covered, outlook });
--- a/chervilport/batch/urgent_reserve.cpp
+++ b/chervilport/batch/urgent_reserve.cpp
@@ -19,6 +19,8 @@
     /// Share of the workers that is kept at least and at most.
     constexpr double leastShare = 0.08;
     constexpr double mostShare = 0.5;
+    /// Share of the room in use below which the pool counts as idle.
+    constexpr double idleShare = 0.5;
 
     resource_demand meanCapacity(const worker_slots& slots)
     {
@@ -71,6 +73,19 @@
     return sum;
 }
 
+bool isMostlyIdle(const worker_slots& slots)
+{
+    resource_demand used;
+    resource_demand whole;
+    for (const auto& slot : slots) {
+        if (!slot.usable)
+            continue;
+        addTimes(used, slot.worker->used, 1);
+        addTimes(whole, slot.worker->report.capacity, 1);
+    }
+    return dominantShare(used, whole) < idleShare;
+}
+
 double notePeak(urgent_demand_window& window, double workers, std::int64_t nowMs)
 {
     auto& samples = window.samples;
--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -1,7 +1,5 @@
 #include "chervilport/batch/worker_slot.h"
 
-#include "chervilport/batch/guarantee_cover.h"
-
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -130,7 +128,7 @@
 {
     const auto& report = slot.worker->report;
     const auto& spec = specOf(ready);
-    if (slot.keptForUrgent && ready.job->priority != guaranteedPriority)
+    if (slot.keptForUrgent && !ready.mayUseKept)
         return false;
     return report.service == service && (spec.requiredLabel.empty() || hasLabel(report, spec.requiredLabel));
 }
