Tests of the job model, the leader's parts and the adapter

They found that a site of one worker kept it for urgent jobs only; shares are rounded down now. Lint findings mended.

--- a/chervilport/batch/guarantee_cover.cpp
+++ b/chervilport/batch/guarantee_cover.cpp
@@ -22,15 +22,15 @@
             byWorkspace[job.workspace].push_back(&job);
     }
     std::set<std::string> covered;
-    for (auto& [workspace, jobs] : byWorkspace) {
-        const auto quota = std::find_if(state.config.workspaces.begin(), state.config.workspaces.end(),
-            [&](const workspace_quota& each) { return each.name == workspace; });
-        if (quota == state.config.workspaces.end())
+    for (const auto& quota : state.config.workspaces) {
+        const auto found = byWorkspace.find(quota.name);
+        if (found == byWorkspace.end())
             continue;
+        auto& jobs = found->second;
         std::sort(jobs.begin(), jobs.end(), [](const job_record* left, const job_record* right) {
             return std::tie(left->acceptedMs, left->request.id) < std::tie(right->acceptedMs, right->request.id);
         });
-        auto left = quota->guaranteedAccelerators;
+        auto left = quota.guaranteedAccelerators;
         for (const auto* const job : jobs) {
             left -= peakAccelerators(job->request);
             if (left < 0)
--- a/chervilport/batch/task_ref.h
+++ b/chervilport/batch/task_ref.h
@@ -17,7 +17,8 @@
     /// Task of the step, from 0.
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const task_ref&, const task_ref&) = default;
+    friend auto operator<=>(const task_ref&, const task_ref&)
+        = default; // NOLINT(modernize-use-nullptr): a false finding of the linter
 };
 
 /// Names one run of a task.
@@ -27,7 +28,8 @@
     /// Number of the run, from 1.
     std::uint32_t run = 0;
 
-    friend auto operator<=>(const run_ref&, const run_ref&) = default;
+    friend auto operator<=>(const run_ref&, const run_ref&)
+        = default; // NOLINT(modernize-use-nullptr): a false finding of the linter
 };
 
 /// Returns a task's name for logs.
--- a/chervilport/batch/urgent_reserve.cpp
+++ b/chervilport/batch/urgent_reserve.cpp
@@ -99,9 +99,11 @@
 
 void keepForUrgent(worker_slots& slots, double peakWorkers)
 {
+    // Shares are rounded down, so that a site of a single worker keeps none.
     const auto total = static_cast<double>(slots.size());
-    const auto wanted = std::clamp(peakWorkers * headroom, total * leastShare, total * mostShare);
-    auto left = static_cast<std::int64_t>(std::ceil(wanted));
+    const auto least = static_cast<std::int64_t>(total * leastShare);
+    const auto most = static_cast<std::int64_t>(total * mostShare);
+    auto left = std::clamp(static_cast<std::int64_t>(std::ceil(peakWorkers * headroom)), least, most);
     std::vector<std::size_t> order(slots.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     std::sort(order.begin(), order.end(), [&](std::size_t first, std::size_t second) {
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -148,10 +148,7 @@
 void control_node::setSeeds(const std::vector<peer_address>& seeds)
 {
     m_settings.seeds = seeds;
-    std::vector<member_id> ids;
-    for (const auto& seed : seeds)
-        ids.push_back(seed.id);
-    m_relay->setSeeds(std::move(ids));
+    m_relay->setSeeds(idsOf(seeds));
     updatePeers();
 }
 
@@ -290,9 +287,7 @@
     std::sort(ids.begin(), ids.end());
     ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
     std::erase(ids, m_group->self().id);
-    std::vector<peer_address> peers;
-    for (const auto id : ids)
-        peers.push_back(addressOf(id));
+    auto peers = addressesOf(ids);
     if (peers == m_peers)
         return;
     // Only a new peer counts as lost until it is connected; one that stays keeps its connection.
--- a/chervilport/control/node_address.cpp
+++ b/chervilport/control/node_address.cpp
@@ -42,4 +42,22 @@
     return member_id { numberOf(ip, port) | (marked << lifeShift) };
 }
 
+std::vector<member_id> idsOf(std::span<const peer_address> instances)
+{
+    std::vector<member_id> ids;
+    ids.reserve(instances.size());
+    for (const auto& each : instances)
+        ids.push_back(each.id);
+    return ids;
+}
+
+std::vector<peer_address> addressesOf(std::span<const member_id> ids)
+{
+    std::vector<peer_address> instances;
+    instances.reserve(ids.size());
+    for (const auto id : ids)
+        instances.push_back(addressOf(id));
+    return instances;
+}
+
 } // namespace chervilport
--- a/chervilport/control/node_address.h
+++ b/chervilport/control/node_address.h
@@ -4,7 +4,9 @@
 #include "chervilport/transport/peer_address.h"
 
 #include <cstdint>
+#include <span>
 #include <string_view>
+#include <vector>
 
 namespace chervilport {
 
@@ -18,4 +20,10 @@
 /// Returns a number for an instance without state, which is new in each life.
 member_id statelessMember(std::string_view ip, std::uint16_t port, std::uint16_t life);
 
+/// Returns the numbers of instances.
+std::vector<member_id> idsOf(std::span<const peer_address>);
+
+/// Returns the addresses of instances.
+std::vector<peer_address> addressesOf(std::span<const member_id>);
+
 } // namespace chervilport
--- a/chervilport/entry/entry_node.cpp
+++ b/chervilport/entry/entry_node.cpp
@@ -56,10 +56,7 @@
 
 void entry_node::setSeeds(const std::vector<peer_address>& seeds)
 {
-    std::vector<member_id> ids;
-    for (const auto& seed : seeds)
-        ids.push_back(seed.id);
-    m_relay->setSeeds(std::move(ids));
+    m_relay->setSeeds(idsOf(seeds));
     updatePeers();
 }
 
@@ -76,12 +73,6 @@
 
 bool entry_node::isReady() const { return m_relay->hasLeader(monotonicNow()); }
 
-void entry_node::updatePeers()
-{
-    std::vector<peer_address> peers;
-    for (const auto id : m_relay->candidates())
-        peers.push_back(addressOf(id));
-    m_network->setPeers(std::move(peers));
-}
+void entry_node::updatePeers() { m_network->setPeers(addressesOf(m_relay->candidates())); }
 
 } // namespace chervilport
--- a/chervilport/logging/line_writer.cpp
+++ b/chervilport/logging/line_writer.cpp
@@ -94,7 +94,7 @@
     state.changed.notify_all();
 }
 
-void line_writer::write(std::string line)
+void line_writer::write(std::string_view line)
 {
     auto& state = *m_implementation;
     const std::lock_guard lock(state.guard);
--- a/chervilport/logging/line_writer.h
+++ b/chervilport/logging/line_writer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace chervilport {
 
@@ -22,7 +23,7 @@
     ~line_writer();
 
     /// Queues a line that ends with a line feed. Never blocks.
-    void write(std::string line);
+    void write(std::string_view line);
 
     /// Returns the number of lines that were dropped.
     std::uint64_t dropped() const;
--- /dev/null
+++ b/tests/batch/batch_apply_test.cpp
@@ -0,0 +1,207 @@
+#include "chervilport/batch/batch_codec.h"
+#include "chervilport/batch/run_accounting.h"
+#include "tests/batch/fake_site.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport::batch;
+using namespace chervilport::batch_tests;
+
+namespace {
+
+std::int64_t usedAccelerators(const batch_state& state)
+{
+    std::int64_t sum = 0;
+    for (const auto& [number, worker] : state.workers)
+        sum += worker.used.accelerators;
+    return sum;
+}
+
+} // namespace
+
+// Guards against a resend that runs a job a second time or changes it.
+Test(batchApply, resendIsOneJob)
+{
+    fake_site site;
+    site.addWorkers(2);
+    const auto id = site.submit(normalQueue, { stepOf(2, 1) });
+    site.pass();
+    job_request again;
+    again.id = id;
+    again.steps = { stepOf(7, 2) };
+    site.apply(job_submitted { again, urgentQueue, "other" });
+    cr_assert_eq(site.state().jobs.size(), 1);
+    cr_assert_eq(site.activeRuns(id).size(), 2);
+    cr_assert(site.job(id).queue == normalQueue);
+}
+
+// Guards against a job shown as completed before all tasks of all steps are done.
+Test(batchApply, completesAfterTheLastTask)
+{
+    fake_site site;
+    site.addWorkers(2);
+    auto second = stepOf(1, 1);
+    second.dependsOn = { 0 };
+    const auto id = site.submit(normalQueue, { stepOf(2, 1), second });
+    site.pass();
+    cr_assert_eq(site.activeRuns(id).size(), 2);
+    site.endAll(id, run_end_kind::Done);
+    cr_assert(site.job(id).phase == job_phase::Active);
+    site.pass();
+    cr_assert_eq(site.activeRuns(id).size(), 1);
+    site.endAll(id, run_end_kind::Done);
+    cr_assert(site.job(id).phase == job_phase::Completed);
+    cr_assert_eq(usedAccelerators(site.state()), 0);
+}
+
+// Guards against a run that is counted twice when its end is reported again, by this leader or the next one.
+Test(batchApply, secondEndOfARunChangesNothing)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto id = site.submit(normalQueue, { stepOf(1, 1) });
+    site.pass();
+    const auto run = site.activeRuns(id).front();
+    site.end(run.run, run_end_kind::Failed);
+    site.apply(run_ended { run.run, run.worker, run_end_kind::Failed, {} });
+    cr_assert_eq(findTask(site.state(), run.run.task)->failures, 1);
+    site.pass();
+    site.apply(run_ended { run.run, run.worker, run_end_kind::Done, {} });
+    cr_assert(site.job(id).phase == job_phase::Active);
+    cr_assert_eq(usedAccelerators(site.state()), 1);
+}
+
+// Guards against a task that is started after its attempts are used up, and against attempts counted for other ends.
+Test(batchApply, onlyFailedEndsCountAsAttempts)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto id = site.submit(normalQueue, { stepOf(1, 1) });
+    for (const auto kind : { run_end_kind::Stopped, run_end_kind::Lapsed, run_end_kind::Broken, run_end_kind::Alone,
+             run_end_kind::NotStarted, run_end_kind::Failed }) {
+        site.pass();
+        site.endAll(id, kind);
+        cr_assert(site.job(id).phase == job_phase::Active);
+    }
+    site.pass();
+    site.endAll(id, run_end_kind::Failed);
+    cr_assert(site.job(id).phase == job_phase::Failed);
+    cr_assert(site.pass().assigned.empty());
+}
+
+// Guards against a gang whose failure is counted once for each member.
+Test(batchApply, failedGangCountsOnce)
+{
+    fake_site site;
+    site.addWorkers(2);
+    const auto id = site.submit(normalQueue, { gangStep(3, 4) });
+    site.pass();
+    site.endAll(id, run_end_kind::Failed);
+    cr_assert(site.job(id).phase == job_phase::Active);
+    site.pass();
+    site.endAll(id, run_end_kind::Failed);
+    cr_assert(site.job(id).phase == job_phase::Failed);
+}
+
+// Guards against members of a done gang that are started again because only one end was seen.
+Test(batchApply, oneDoneEndStandsForTheGang)
+{
+    fake_site site;
+    site.addWorkers(2);
+    const auto id = site.submit(normalQueue, { gangStep(3, 4) });
+    site.pass();
+    site.end(site.activeRuns(id).front().run, run_end_kind::Done);
+    cr_assert(site.job(id).phase == job_phase::Completed);
+    cr_assert_eq(usedAccelerators(site.state()), 0);
+}
+
+// Guards against room that stays taken, and tasks that stay running, after a worker has restarted under its id.
+Test(batchApply, newLifeEndsTheRunsOfTheOldOne)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto id = site.submit(normalQueue, { stepOf(1, 8) });
+    site.pass();
+    const auto old = site.activeRuns(id).front().worker;
+    site.apply(worker_seen { reportOf("w0", "10.0.0.0:80", 900'000) });
+    cr_assert(site.activeRuns(id).empty());
+    cr_assert_null(findWorker(site.state(), old));
+    cr_assert_eq(site.state().workers.size(), 1);
+}
+
+// Guards against a delayed report of a life that is over, which would bring a dead worker back.
+Test(batchApply, delayedReportsAreIgnored)
+{
+    fake_site site;
+    site.apply(worker_seen { reportOf("w1", "10.0.0.1:80", 900'000) });
+    site.apply(worker_seen { reportOf("w1", "10.0.0.1:80", 800'000) });
+    site.apply(worker_seen { reportOf("w0", "10.0.0.1:80", 700'000) });
+    cr_assert_eq(site.state().workers.size(), 1);
+    cr_assert_eq(site.state().workers.begin()->second.report.born, 900'000);
+}
+
+// Guards against a worker that is about to leave and gets new runs because an older report came later.
+Test(batchApply, drainingIsNotTakenBack)
+{
+    fake_site site;
+    auto report = reportOf("w1", "10.0.0.1:80", 900'000);
+    site.apply(worker_seen { report });
+    report.sequence = 5;
+    report.draining = true;
+    site.apply(worker_seen { report });
+    report.sequence = 6;
+    report.draining = false;
+    site.apply(worker_seen { report });
+    cr_assert(site.state().workers.begin()->second.report.draining);
+}
+
+// Guards against an older configuration, or another one under the same version, that replaces the one in force.
+Test(batchApply, onlyAHigherVersionReplacesTheConfiguration)
+{
+    fake_site site;
+    auto config = site.state().config;
+    config.document = "other content";
+    site.apply(config_applied { config });
+    cr_assert(site.state().config.document.empty());
+    config.version = 9;
+    site.apply(config_applied { config });
+    config.version = 4;
+    config.document = "older";
+    site.apply(config_applied { config });
+    cr_assert_eq(site.state().config.version, 9);
+    cr_assert(site.state().config.document == "other content");
+}
+
+// Guards against tasks of a cancelled job that are started, or whose room is given away before they have stopped.
+Test(batchApply, cancelledJobKeepsItsRoomUntilItsRunsEnd)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto id = site.submit(normalQueue, { stepOf(12, 1) });
+    site.pass();
+    site.apply(job_cancelled { id });
+    cr_assert(site.job(id).phase == job_phase::Cancelled);
+    cr_assert_eq(usedAccelerators(site.state()), 8);
+    cr_assert(site.pass().assigned.empty());
+    site.endAll(id, run_end_kind::Stopped);
+    cr_assert_eq(usedAccelerators(site.state()), 0);
+}
+
+// Guards against a snapshot that loses progress: a restored member has to decide as the others do.
+Test(batchApply, snapshotKeepsEverything)
+{
+    fake_site site(8);
+    site.addWorkers(4);
+    const auto first = site.submit(normalQueue, { gangStep(2, 4), stepOf(3, 1) });
+    site.submit(urgentQueue, { stepOf(2, 2) });
+    site.pass();
+    site.end(site.activeRuns(first).front().run, run_end_kind::Stopped, "saved");
+    const auto bytes = encodeState(site.state());
+    const auto restored = decodeState(bytes);
+    cr_assert(encodeState(restored) == bytes);
+    for (const auto& [number, worker] : site.state().workers) {
+        cr_assert(restored.workers.at(number).used == worker.used);
+        cr_assert_eq(restored.workers.at(number).activeRuns, worker.activeRuns);
+    }
+    cr_assert_eq(restored.jobs.at(first).activeRuns, site.job(first).activeRuns);
+}
--- /dev/null
+++ b/tests/batch/fake_site.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "chervilport/batch/batch_apply.h"
+#include "chervilport/batch/batch_command.h"
+#include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/scheduling_pass.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilport::batch_tests {
+
+/// Names of the queues of a fake site, by priority.
+inline constexpr const char* urgentQueue = "urgent";
+inline constexpr const char* normalQueue = "normal";
+inline constexpr const char* backgroundQueue = "background";
+
+/// A site without processes: commands are applied at once, and runs start as soon as a pass has decided them.
+class fake_site {
+public:
+    /// Creates a site with three queues and one workspace that is guaranteed this many accelerators.
+    explicit fake_site(std::int64_t guaranteedAccelerators = 0);
+
+    /// Applies one command.
+    void apply(batch::batch_command);
+
+    /// Adds usable workers of 64 cores, 256,000 MB and 8 accelerators, `perRack` to a rack.
+    void addWorkers(int count, int perRack = 8);
+
+    /// Submits a job with these steps and returns its id.
+    std::string submit(const char* queue, std::vector<batch::step_spec> steps);
+
+    /// Plans a pass, applies what it assigned and returns it.
+    batch::scheduling_result pass();
+
+    /// Ends a run on its worker.
+    void end(const batch::run_ref&, batch::run_end_kind, const std::string& checkpoint = {});
+
+    /// Ends all active runs of a job.
+    void endAll(const std::string& job, batch::run_end_kind);
+
+    /// Returns the active runs of a job.
+    std::vector<batch::run_assigned> activeRuns(const std::string& job) const;
+
+    /// Lets time pass.
+    void advance(std::int64_t ms) { m_nowMs += ms; }
+
+    /// Returns the state.
+    const batch::batch_state& state() const { return m_state; }
+
+    /// Returns a job.
+    const batch::job_record& job(const std::string& id) const { return m_state.jobs.at(id); }
+
+    /// What the leader knows of workers.
+    std::map<batch::worker_number, batch::worker_condition> conditions;
+
+    /// What the leader remembers.
+    batch::scheduling_memory memory;
+
+private:
+    batch::batch_state m_state;
+    std::int64_t m_nowMs = 1'000'000;
+    int m_jobs = 0;
+    int m_workers = 0;
+};
+
+/// Returns a step of tasks that need accelerators, one core and 1,000 MB each, and run for 2 s.
+batch::step_spec stepOf(std::uint32_t count, std::int64_t accelerators);
+
+/// Returns such a step whose tasks run together.
+batch::step_spec gangStep(std::uint32_t count, std::int64_t accelerators);
+
+/// Returns a report of a worker.
+batch::worker_report reportOf(const std::string& id, const std::string& address, std::int64_t born);
+
+} // namespace chervilport::batch_tests
--- /dev/null
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -0,0 +1,245 @@
+#include "chervilport/batch/run_accounting.h"
+#include "tests/batch/fake_site.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace chervilport::batch;
+using namespace chervilport::batch_tests;
+
+namespace {
+
+std::set<std::string> racksOf(const fake_site& site, const std::string& job)
+{
+    std::set<std::string> racks;
+    for (const auto& run : site.activeRuns(job))
+        racks.insert(site.state().workers.at(run.worker).report.rack);
+    return racks;
+}
+
+bool isWithinCapacity(const batch_state& state)
+{
+    for (const auto& [number, worker] : state.workers) {
+        if (!fitsInto(worker.used, worker.report.capacity))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against a gang that starts in parts.
+Test(schedulingPass, gangGetsAllPlacesOrNone)
+{
+    fake_site site;
+    site.addWorkers(3);
+    const auto large = site.submit(urgentQueue, { gangStep(4, 8) });
+    const auto small = site.submit(urgentQueue, { gangStep(3, 8) });
+    site.pass();
+    cr_assert(site.activeRuns(large).empty());
+    cr_assert_eq(site.activeRuns(small).size(), 3);
+    std::set<std::uint32_t> runs;
+    for (const auto& run : site.activeRuns(small))
+        runs.insert(run.run.run);
+    cr_assert_eq(runs.size(), 1);
+}
+
+// Guards against a new run of a gang while members of the last one are still on their workers.
+Test(schedulingPass, gangWaitsForTheEndOfItsLastRun)
+{
+    fake_site site;
+    site.addWorkers(4);
+    const auto id = site.submit(urgentQueue, { gangStep(2, 8) });
+    site.pass();
+    site.end(site.activeRuns(id).front().run, run_end_kind::Failed);
+    cr_assert(site.pass().assigned.empty());
+    site.endAll(id, run_end_kind::Broken);
+    const auto again = site.pass().assigned;
+    cr_assert_eq(again.size(), 2);
+    cr_assert_eq(again[0].run.run, 2);
+    cr_assert_eq(again[1].run.run, 2);
+}
+
+// Guards against close tasks that are spread over racks although one rack has room.
+Test(schedulingPass, rackLocalGangStaysInOneRack)
+{
+    fake_site site;
+    site.addWorkers(8, 4);
+    site.submit(urgentQueue, { stepOf(3, 8) });
+    site.pass();
+    auto step = gangStep(3, 8);
+    step.rackLocal = true;
+    const auto id = site.submit(urgentQueue, { step });
+    site.pass();
+    cr_assert_eq(racksOf(site, id).size(), 1);
+}
+
+// Guards against tasks on a worker without the label, or more of them on one worker than the step allows.
+Test(schedulingPass, labelsAndLimitsHold)
+{
+    fake_site site;
+    site.addWorkers(2);
+    auto labelled = stepOf(1, 1);
+    labelled.requiredLabel = "rare";
+    const auto impossible = site.submit(urgentQueue, { labelled });
+    auto limited = stepOf(5, 1);
+    limited.maxPerWorker = 2;
+    const auto spread = site.submit(urgentQueue, { limited });
+    site.pass();
+    site.pass();
+    cr_assert(site.activeRuns(impossible).empty());
+    cr_assert_eq(site.activeRuns(spread).size(), 4);
+}
+
+// Guards against starts on workers that are leaving, not heard or not sound.
+Test(schedulingPass, unusableWorkersGetNothing)
+{
+    fake_site site;
+    site.addWorkers(2);
+    auto leaving = site.state().workers.begin()->second.report;
+    leaving.draining = true;
+    leaving.sequence = 9;
+    site.apply(worker_seen { leaving });
+    site.conditions.rbegin()->second.usable = false;
+    site.submit(urgentQueue, { stepOf(1, 1) });
+    cr_assert(site.pass().assigned.empty());
+}
+
+// Guards against a guarantee that is not reclaimed, and against room given away before its victims have stopped.
+Test(schedulingPass, guaranteedJobStopsBorrowers)
+{
+    fake_site site(8);
+    site.addWorkers(2);
+    const auto first = site.submit(normalQueue, { stepOf(8, 1) });
+    site.pass();
+    site.advance(20'000);
+    const auto second = site.submit(normalQueue, { stepOf(8, 1) });
+    site.pass();
+    site.pass();
+    const auto urgent = site.submit(urgentQueue, { stepOf(1, 8) });
+    auto decided = site.pass();
+    // Whatever is free is used first; the rest is taken from borrowers.
+    const auto started = site.activeRuns(urgent).size();
+    cr_assert(started == 1 || !decided.preempted.empty());
+    const auto waiting = site.submit(backgroundQueue, { stepOf(8, 1) });
+    for (int i = 0; i < 20 && site.activeRuns(urgent).empty(); ++i) {
+        for (const auto& run : std::set<run_ref>(site.memory.stopping))
+            site.end(run, run_end_kind::Stopped);
+        site.pass();
+    }
+    cr_assert_eq(site.activeRuns(urgent).size(), 1);
+    cr_assert(isWithinCapacity(site.state()));
+    cr_assert(site.activeRuns(waiting).empty());
+    cr_assert_leq(site.activeRuns(first).size() + site.activeRuns(second).size(), 8);
+}
+
+// Guards against borrowers stopped for a job beyond its workspace's guarantee.
+Test(schedulingPass, jobBeyondTheGuaranteeStopsNobody)
+{
+    fake_site site(4);
+    site.addWorkers(1);
+    site.memory.urgentDemand = {};
+    const auto holder = site.submit(urgentQueue, { stepOf(8, 1) });
+    site.pass();
+    site.submit(urgentQueue, { stepOf(1, 8) });
+    cr_assert(site.pass().preempted.empty());
+    cr_assert_eq(site.activeRuns(holder).size(), 8);
+}
+
+// Pattern of the heaviest days: jobs that can no longer be of use stand in front of those that can be in time.
+Test(schedulingPass, overdueJobsWaitBehindThoseInTime)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto overdue = site.submit(urgentQueue, { stepOf(8, 1) });
+    site.advance(60'000);
+    const auto fresh = site.submit(urgentQueue, { stepOf(8, 1) });
+    site.pass();
+    cr_assert(site.activeRuns(overdue).empty());
+    cr_assert_eq(site.activeRuns(fresh).size(), 8);
+}
+
+// Pattern of the heaviest days: long work fills every worker just before a burst of short urgent jobs.
+Test(schedulingPass, workersStayFreeForUrgentBursts)
+{
+    fake_site site;
+    site.addWorkers(16);
+    const auto urgent = site.submit(urgentQueue, { stepOf(4, 8) });
+    site.pass();
+    site.endAll(urgent, run_end_kind::Done);
+    site.submit(normalQueue, { stepOf(200, 1) });
+    site.pass();
+    const auto burst = site.submit(urgentQueue, { stepOf(4, 8) });
+    site.pass();
+    cr_assert_eq(site.activeRuns(burst).size(), 4);
+}
+
+// Guards against a gang that starves at the end of a day because idle workers are kept for urgent jobs.
+Test(schedulingPass, idlePoolServesWhoHasWaited)
+{
+    fake_site site;
+    site.addWorkers(4);
+    const auto urgent = site.submit(urgentQueue, { stepOf(3, 8) });
+    site.pass();
+    site.endAll(urgent, run_end_kind::Done);
+    const auto waiting = site.submit(normalQueue, { gangStep(4, 8) });
+    cr_assert(site.pass().assigned.empty());
+    site.advance(7'000);
+    site.pass();
+    cr_assert_eq(site.activeRuns(waiting).size(), 4);
+}
+
+// Guards against an occurrence that starts before its time, and against one that is left out.
+Test(schedulingPass, occurrencesStartWhenDue)
+{
+    fake_site site;
+    site.addWorkers(2);
+    job_request request;
+    request.id = "timed";
+    request.steps = { stepOf(1, 1) };
+    request.repeatCount = 2;
+    request.firstMs = 1'005'000;
+    request.intervalMs = 1'000;
+    site.apply(job_submitted { request, urgentQueue, "main" });
+    site.advance(4'999);
+    cr_assert(site.pass().assigned.empty());
+    site.advance(1'001);
+    cr_assert_eq(site.pass().assigned.size(), 2);
+    site.endAll("timed", run_end_kind::Done);
+    cr_assert(site.job("timed").phase == job_phase::Completed);
+}
+
+// Guards against a worker that gets more than it has, whatever comes and ends in whatever order.
+Test(schedulingPass, neverExceedsCapacity)
+{
+    const bool holds = rc::check([] {
+        fake_site site(*rc::gen::inRange(0, 17));
+        site.addWorkers(4, 2);
+        std::vector<std::string> jobs;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1'000));
+        for (const auto choice : steps) {
+            const std::int64_t accelerators = 1 << (choice % 4);
+            const auto count = static_cast<std::uint32_t>(choice / 4 % 5 + 1);
+            const char* const queues[] = { urgentQueue, normalQueue, backgroundQueue };
+            if (choice % 3 == 0)
+                jobs.push_back(site.submit(queues[choice / 7 % 3],
+                    { choice % 2 == 0 ? gangStep(count, accelerators) : stepOf(count, accelerators) }));
+            else if (choice % 3 == 1 && !jobs.empty())
+                site.endAll(jobs[static_cast<std::size_t>(choice) % jobs.size()],
+                    choice % 5 == 0 ? run_end_kind::Failed : run_end_kind::Done);
+            else
+                for (const auto& run : std::set<run_ref>(site.memory.stopping))
+                    site.end(run, run_end_kind::Stopped);
+            site.advance(choice * 3);
+            site.pass();
+            RC_ASSERT(isWithinCapacity(site.state()));
+        }
+        // What is derived while commands are applied has to agree with what is derived from the jobs.
+        auto again = site.state();
+        deriveAccounting(again);
+        for (const auto& [number, worker] : site.state().workers)
+            RC_ASSERT(again.workers.at(number).used == worker.used);
+    });
+    cr_assert(holds);
+}
--- /dev/null
+++ b/tests/batch/site_rules_test.cpp
@@ -0,0 +1,106 @@
+#include "chervilport/batch/config_check.h"
+#include "chervilport/batch/guarantee_cover.h"
+#include "chervilport/batch/job_admission.h"
+#include "chervilport/batch/run_estimates.h"
+#include "chervilport/batch/urgent_reserve.h"
+#include "chervilport/core/chervilport_error.h"
+#include "tests/batch/fake_site.h"
+
+#include <criterion/criterion.h>
+#include <functional>
+
+using namespace chervilport;
+using namespace chervilport::batch;
+using namespace chervilport::batch_tests;
+
+namespace {
+
+site_config validConfig() { return fake_site().state().config; }
+
+std::optional<error_kind> refusalOf(const std::function<void()>& call)
+{
+    try {
+        call();
+    } catch (const chervilport_error& error) {
+        return error.kind();
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Guards against an invalid configuration in force.
+Test(siteRules, invalidConfigurationsAreFound)
+{
+    cr_assert(findConfigFaults(validConfig()).empty());
+    auto unknownService = validConfig();
+    unknownService.queues[0].service = "nowhere";
+    cr_assert_eq(findConfigFaults(unknownService).size(), 1);
+    auto noTimeout = validConfig();
+    noTimeout.queues[1].timeoutMs = 0;
+    cr_assert_eq(findConfigFaults(noTimeout).size(), 1);
+    auto samePlace = validConfig();
+    samePlace.queues[1].pathPrefix = samePlace.queues[0].pathPrefix;
+    cr_assert_eq(findConfigFaults(samePlace).size(), 1);
+    auto sharedKey = validConfig();
+    sharedKey.workspaces.push_back({ "second", { "key" }, 0 });
+    cr_assert_eq(findConfigFaults(sharedKey).size(), 1);
+    auto noVersion = validConfig();
+    noVersion.version = 0;
+    cr_assert_eq(findConfigFaults(noVersion).size(), 1);
+}
+
+// Guards against calls that reach the wrong queue or the wrong workspace.
+Test(siteRules, callsAreLocatedByHostLongestPrefixAndKey)
+{
+    auto state = fake_site().state();
+    auto inner = state.config.queues[0];
+    inner.name = "inner";
+    inner.pathPrefix = "/urgent/inner/";
+    state.config.queues.push_back(inner);
+    const auto place = locateCall(state, "jobs.example:8080", "/urgent/inner/0123", "key");
+    cr_assert(place.queue->name == "inner");
+    cr_assert(place.workspace == "main");
+    cr_assert(place.job == "0123");
+    cr_assert(refusalOf([&] { locateCall(state, "other.example", "/urgent/0123", "key"); }) == error_kind::NotFound);
+    cr_assert(
+        refusalOf([&] { locateCall(state, "jobs.example", "/urgent/0123", "old"); }) == error_kind::Unauthenticated);
+    cr_assert(refusalOf([] { locateCall({}, "jobs.example", "/urgent/0123", "key"); }) == error_kind::Unavailable);
+}
+
+// Guards against a guarantee that covers more than it promises.
+Test(siteRules, coverEndsAtTheGuarantee)
+{
+    fake_site site(10);
+    const auto first = site.submit(urgentQueue, { stepOf(2, 4) });
+    const auto second = site.submit(urgentQueue, { stepOf(1, 4) });
+    site.submit(normalQueue, { stepOf(1, 1) });
+    const auto covered = coveredJobs(site.state());
+    cr_assert(covered.contains(first));
+    cr_assert(!covered.contains(second));
+    cr_assert_eq(covered.size(), 1);
+}
+
+// Guards against estimates of submitters that are believed although observed runs say otherwise.
+Test(siteRules, observedRunTimesReplaceEstimates)
+{
+    fake_site site;
+    const auto id = site.submit(normalQueue, { stepOf(1, 1) });
+    run_estimates estimates;
+    cr_assert_float_eq(expectedRunMs(estimates, site.job(id), stepOf(1, 1)), 2'000, 1);
+    for (int i = 0; i < 20; ++i)
+        noteRunTime(estimates, normalQueue, 8'000);
+    cr_assert_float_eq(expectedRunMs(estimates, site.job(id), stepOf(1, 1)), 8'000, 1);
+    cr_assert_float_eq(
+        expectedRunMs(estimates, site.job(id), stepOf(1, 1)), expectedChainMs(estimates, site.job(id)), 1);
+}
+
+// Guards against a reserve that forgets a burst at once, or keeps it for ever.
+Test(siteRules, peakOfUrgentDemandExpires)
+{
+    urgent_demand_window window;
+    cr_assert_float_eq(notePeak(window, 3, 1'000), 3, 0.01);
+    cr_assert_float_eq(notePeak(window, 9, 2'000), 9, 0.01);
+    cr_assert_float_eq(notePeak(window, 1, 8'000), 9, 0.01);
+    cr_assert_float_eq(notePeak(window, 2, 30'000), 2, 0.01);
+}
--- /dev/null
+++ b/tests/control/fake_worker.cpp
@@ -0,0 +1,59 @@
+#include "tests/control/fake_worker.h"
+
+#include <asio/post.hpp>
+
+namespace chervilport::control_tests {
+
+namespace {
+
+    worker_reply take(std::deque<worker_reply>& replies)
+    {
+        if (replies.empty())
+            return worker_reply::Done;
+        const auto next = replies.front();
+        replies.pop_front();
+        return next;
+    }
+
+    std::optional<std::int64_t> clockIn(const fake_worker& worker, worker_reply reply)
+    {
+        const bool answered = reply != worker_reply::NoAnswer && reply != worker_reply::NotSent;
+        return answered ? std::optional(worker.clockMs) : std::nullopt;
+    }
+
+} // namespace
+
+fake_worker::fake_worker(asio::io_context& given)
+    : context(given)
+{
+}
+
+worker_port fake_worker::port()
+{
+    worker_port calls;
+    calls.start
+        = [this](const worker_target&, const start_order& order, const std::function<void(worker_result)>& done) {
+              starts.push_back(order);
+              const auto reply = take(startReplies);
+              asio::post(context, [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); });
+          };
+    calls.stop = [this](const worker_target&, const stop_order& order, const std::function<void(worker_result)>& done) {
+        stops.push_back(order);
+        const auto reply = take(stopReplies);
+        asio::post(context, [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); });
+    };
+    calls.look = [this](const worker_target&, const look_order& order, const std::function<void(worker_look)>& done) {
+        looks.push_back(order);
+        const auto reply = take(lookReplies);
+        const auto answer = [this, reply, done] {
+            done({ { reply, clockIn(*this, reply), {} }, born, running, ended });
+        };
+        if (order.wait.count() > 0 && holdLooks)
+            heldLook = answer;
+        else
+            asio::post(context, answer);
+    };
+    return calls;
+}
+
+} // namespace chervilport::control_tests
--- /dev/null
+++ b/tests/control/worker_session_test.cpp
@@ -0,0 +1,239 @@
+#include "chervilport/control/worker_session.h"
+
+#include "chervilport/batch/batch_apply.h"
+#include "chervilport/instance/monotonic_now.h"
+#include "tests/control/fake_worker.h"
+
+#include <asio/post.hpp>
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+using namespace chervilport::control_tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t term = 5;
+
+/// A leader with one worker and one job of one task that is active on it.
+struct session_bench {
+    session_bench()
+        : worker(context)
+        , port(worker.port())
+    {
+        batch::site_config config;
+        config.version = 1;
+        config.services = { "pool" };
+        batch::queue_config queue;
+        queue.name = "q";
+        queue.service = "pool";
+        queue.maxAttempts = 3;
+        config.queues = { queue };
+        apply(batch::config_applied { config });
+        batch::worker_report report;
+        report.id = "w";
+        report.address = "10.0.0.1:80";
+        report.service = "pool";
+        report.born = 10;
+        report.capacity = { 1'000, 1'000, 1 };
+        report.sequence = 1;
+        apply(batch::worker_seen { report });
+        batch::job_request request;
+        request.id = "job";
+        request.spec = "work";
+        request.steps = { {} };
+        apply(batch::job_submitted { request, "q", "main" });
+    }
+
+    void apply(batch::batch_command command) { batch::applyBatch(state, { 1'000, { std::move(command) } }); }
+
+    void assign(std::uint32_t run) { apply(batch::run_assigned { { { "job", 0, 0, 0 }, run }, number }); }
+
+    std::shared_ptr<worker_session> makeSession(log_time leaseEnd = {})
+    {
+        session_host host;
+        host.context = &context;
+        host.port = &port;
+        host.term = term;
+        host.state = [this]() -> const batch::batch_state& { return state; };
+        host.mayAct = [this] { return leads; };
+        host.propose = [this](batch::batch_command command, const std::function<void(proposal_result)>& done) {
+            asio::post(context, [this, command = std::move(command), done] {
+                proposed.push_back(command);
+                apply(command);
+                done(proposal_result::Committed);
+            });
+        };
+        host.changed = [] {};
+        host.started = [](const batch::run_ref&) {};
+        host.ended = [](const batch::run_ref&, batch::run_end_kind) {};
+        return std::make_shared<worker_session>(host, number, leaseEnd);
+    }
+
+    void settle()
+    {
+        context.restart();
+        context.poll();
+    }
+
+    std::vector<batch::run_end_kind> ends() const
+    {
+        std::vector<batch::run_end_kind> kinds;
+        for (const auto& command : proposed) {
+            if (const auto* const ended = std::get_if<batch::run_ended>(&command))
+                kinds.push_back(ended->kind);
+        }
+        return kinds;
+    }
+
+    asio::io_context context;
+    fake_worker worker;
+    worker_port port;
+    batch::batch_state state;
+    batch::worker_number number { 1 };
+    std::vector<batch::batch_command> proposed;
+    bool leads = true;
+};
+
+const batch::run_ref firstRun { { "job", 0, 0, 0 }, 1 };
+
+} // namespace
+
+// Guards against a start before the worker was looked at in this term, which could bring it over its capacity.
+Test(workerSession, looksBeforeItStarts)
+{
+    session_bench bench;
+    bench.assign(1);
+    const auto session = bench.makeSession();
+    session->open();
+    cr_assert(!session->isUsable());
+    cr_assert(bench.worker.starts.empty());
+    bench.settle();
+    cr_assert(session->isUsable());
+    cr_assert_eq(bench.worker.starts.size(), 1);
+    cr_assert_eq(bench.worker.starts.front().fence, term);
+    cr_assert(bench.worker.starts.front().spec == "work");
+}
+
+// Guards against a second start of a run that a new leader finds running.
+Test(workerSession, newLeaderAdoptsWhatRuns)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.running = { { firstRun, "saved", 40 } };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    cr_assert(bench.worker.starts.empty());
+    cr_assert(session->hasStarted(firstRun));
+}
+
+// Guards against an end that is acknowledged before it is committed, and against one that is never acknowledged.
+Test(workerSession, endIsCommittedBeforeItIsAcknowledged)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.ended = { { 7, firstRun, batch::run_end_kind::Done, "" } };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    cr_assert_eq(bench.ends().size(), 1);
+    cr_assert(bench.state.jobs.at("job").phase == batch::job_phase::Completed);
+    cr_assert_eq(bench.worker.looks.size(), 2);
+    cr_assert_eq(bench.worker.looks[0].acknowledgedEnd, 0);
+    cr_assert_eq(bench.worker.looks[1].acknowledgedEnd, 7);
+}
+
+// Guards against a task that is given to another worker while an order without an answer can still be carried out.
+Test(workerSession, unansweredStartIsSettledByAStop)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.startReplies
+        = { worker_reply::NoAnswer, worker_reply::NoAnswer, worker_reply::NoAnswer, worker_reply::NoAnswer };
+    const auto session = bench.makeSession();
+    session->open();
+    for (int i = 0; i < 6; ++i) {
+        bench.settle();
+        session->tick(monotonicNow() + i * 1s);
+    }
+    cr_assert_eq(bench.worker.starts.size(), 4);
+    cr_assert_geq(bench.worker.stops.size(), 1);
+    cr_assert_eq(bench.worker.stops.front().fence, term);
+}
+
+// Guards against a run that is kept waiting although no order to start it ever left.
+Test(workerSession, unsentStartGoesElsewhereAtOnce)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.startReplies = { worker_reply::NotSent, worker_reply::NotSent };
+    const auto session = bench.makeSession();
+    session->open();
+    for (int i = 0; i < 3; ++i) {
+        bench.settle();
+        session->tick(monotonicNow());
+    }
+    bench.settle();
+    cr_assert_eq(bench.ends().size(), 1);
+    cr_assert(bench.ends().front() == batch::run_end_kind::NotStarted);
+}
+
+// Guards against two runs of a task at once: a worker out of reach keeps its runs until its lease has ended.
+Test(workerSession, runsLapseOnlyAfterTheLease)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.lookReplies = { worker_reply::NoAnswer, worker_reply::NoAnswer, worker_reply::NoAnswer };
+    const auto now = monotonicNow();
+    const auto session = bench.makeSession(now + 10s);
+    session->open();
+    bench.settle();
+    session->tick(now + 9s);
+    bench.settle();
+    cr_assert(bench.ends().empty());
+    session->tick(now + 11s);
+    bench.settle();
+    cr_assert_eq(bench.ends().size(), 1);
+    cr_assert(bench.ends().front() == batch::run_end_kind::Lapsed);
+}
+
+// Guards against orders of an instance that may no longer lead.
+Test(workerSession, givesNoOrdersWithoutTheLease)
+{
+    session_bench bench;
+    bench.assign(1);
+    const auto session = bench.makeSession();
+    bench.leads = false;
+    session->open();
+    session->tick(monotonicNow());
+    bench.settle();
+    cr_assert(bench.worker.looks.empty());
+    cr_assert(bench.worker.starts.empty());
+}
+
+// Guards against a run that nobody knows and that holds room for ever.
+Test(workerSession, strayRunIsStopped)
+{
+    session_bench bench;
+    const batch::run_ref stray { { "gone", 0, 0, 3 }, 2 };
+    bench.worker.running = { { stray, "", 0 } };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    cr_assert_eq(bench.worker.stops.size(), 1);
+    cr_assert(bench.worker.stops.front().run == stray);
+}
+
+// Guards against room that stays taken when the worker has restarted under its id.
+Test(workerSession, laterBirthEndsTheLife)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.born = 99;
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    cr_assert(bench.state.workers.empty());
+    cr_assert_eq(bench.state.jobs.at("job").activeRuns, 0);
+}
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,171 @@
+#include "chervilport/core/chervilport_error.h"
+#include "platform/boot_settings.h"
+#include "platform/config_wire.h"
+#include "platform/job_wire.h"
+#include "platform/worker_wire.h"
+
+#include <criterion/criterion.h>
+#include <fstream>
+#include <sstream>
+
+using namespace chervilport;
+using namespace chervilport::platform;
+
+namespace {
+
+std::string golden(const std::string& name)
+{
+    std::ifstream file(std::string(CHERVILPORT_SOURCE_DIR) + "/tests/platform/golden/" + name);
+    cr_assert(file.good(), "missing %s", name.c_str());
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto content = text.str();
+    while (!content.empty() && content.back() == '\n')
+        content.pop_back();
+    return content;
+}
+
+const worker_target target { "10.128.0.9:8080", "i-7f3a91c2" };
+
+} // namespace
+
+// Guards against a task name that is read as another task.
+Test(jobWire, taskNamesAreReadWhole)
+{
+    const batch::task_ref task { "5c0e7a21d94b36f8", 3, 1, 17 };
+    cr_assert(taskName(task) == "5c0e7a21d94b36f8.3.1.17");
+    cr_assert(readTaskName(taskName(task)) == task);
+    for (const auto* const wrong : { "", "5c0e", "5c0e.1.2", "5c0e.1.2.x", "5c0e.1.2.3.4", ".1.2.3", "5c0e.1.2.3 " })
+        cr_assert(!readTaskName(wrong).has_value(), "%s", wrong);
+}
+
+// Guards against fields of a submission that are lost or taken for others.
+Test(jobWire, submissionIsReadInFull)
+{
+    const auto request = readJobRequest("5c0e7a21d94b36f8", golden("submission.json"));
+    cr_assert(request.spec == "(text)");
+    cr_assert_eq(request.steps.size(), 2);
+    const auto& first = request.steps[0];
+    cr_assert_eq(first.count, 4);
+    cr_assert(first.demand == (batch::resource_demand { 500, 256, 0 }));
+    cr_assert(first.dataRack == "r1-3");
+    const auto& second = request.steps[1];
+    cr_assert(second.checkpointing);
+    cr_assert(second.gang);
+    cr_assert(second.rackLocal);
+    cr_assert_eq(second.demand.accelerators, 2);
+    cr_assert_eq(second.maxPerWorker, 3);
+    cr_assert(second.dependsOn == std::vector<std::uint32_t> { 0 });
+    cr_assert_eq(request.repeatCount, 6);
+    cr_assert_eq(request.firstMs, 1'770'000'000'000);
+}
+
+// Guards against a damaged submission that is accepted, or that ends the process.
+Test(jobWire, damagedSubmissionsAreRefused)
+{
+    for (const auto* const body : { "", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+             R"({"steps":[{"count":"4"}]})", R"({"steps":[{"depends_on":[0]}]})", R"({"steps":[7]})" })
+        cr_assert_throw(readJobRequest("5c0e7a21d94b36f8", body), chervilport_error, "%s", body);
+}
+
+// Guards against ids that are no ids.
+Test(jobWire, idsHaveSixteenDigits)
+{
+    cr_assert(isJobId("5c0e7a21d94b36f8"));
+    cr_assert(!isJobId("5c0e7a21d94b36f"));
+    cr_assert(!isJobId("5c0e7a21d94b36fg"));
+}
+
+// Guards against a configuration that is understood only in part.
+Test(configWire, configurationIsReadInFull)
+{
+    const auto text = golden("config.json");
+    const auto config = readSiteConfig(text);
+    cr_assert_eq(config.version, 7);
+    cr_assert_eq(config.queues.size(), 3);
+    cr_assert(config.queues[2].host == "ficu95.example");
+    cr_assert_eq(config.queues[2].targetMs, 250);
+    cr_assert_float_eq(config.queues[2].stretch, 1.5, 0.001);
+    cr_assert_eq(config.queues[0].maxAttempts, 2);
+    cr_assert_eq(config.workspaces.front().guaranteedAccelerators, 72);
+    cr_assert_eq(config.workspaces.front().keys.size(), 2);
+    cr_assert(config.document == text);
+    cr_assert_throw(readSiteConfig(text.substr(0, text.size() / 2)), chervilport_error);
+    cr_assert_throw(readSiteConfig(R"({"version":1})"), chervilport_error);
+}
+
+// Guards against a foreign or damaged heartbeat that names a worker to use.
+Test(workerWire, foreignHeartbeatsAreRefused)
+{
+    const auto good = golden("heartbeat.json");
+    const auto report = readHeartbeat("i-7f3a91c2", good);
+    cr_assert(report.address == "10.128.0.9:8080");
+    cr_assert(report.rack == "r1-3");
+    cr_assert(!report.draining);
+    cr_assert_eq(report.capacity.accelerators, 8);
+    cr_assert_eq(report.born, 1'770'000'000'123);
+    for (const auto* const body : { "", "\xff\xfe", "{}", R"({"service":7})",
+             R"({"service":"s","address":"a:1","zone":"z","seq":1,"state":"asleep","capacity":{"cpu":1}})",
+             R"({"service":"s","address":"a:1","zone":"z","seq":"1","state":"ready","capacity":{"cpu":1}})",
+             R"({"service":"s","address":"a:1","zone":"z","seq":1,"state":"ready"})" })
+        cr_assert_throw(readHeartbeat("i", body), chervilport_error, "%s", body);
+}
+
+// Guards against orders that a worker reads differently.
+Test(workerWire, ordersMatchTheirGoldenFiles)
+{
+    const batch::run_ref run { { "5c0e7a21d94b36f8", 0, 1, 17 }, 2 };
+    cr_assert(writeStart({ run, "(text)", 486'000, 7, "00000bb87a21d94b" }) == golden("start.json"));
+    cr_assert(writeStop({ run, 7 }) == golden("stop.json"));
+    cr_assert(writeLook({ 486'000, 7, 57, std::chrono::milliseconds(1'000) }) == golden("look.json"));
+    cr_assert(writeLook({ std::nullopt, 7, 0, std::chrono::milliseconds(0) }) == golden("first-look.json"));
+}
+
+// Guards against one unreadable row that hides the others.
+Test(workerWire, unreadableRowsAreLeftOut)
+{
+    const auto look = readLook(golden("look-answer.json"), target);
+    cr_assert(look.result.reply == worker_reply::Done);
+    cr_assert_eq(*look.result.clockMs, 482'113);
+    cr_assert_eq(look.running.size(), 1);
+    cr_assert(look.running.front().checkpoint == "00000bb87a21d94b");
+    cr_assert_eq(look.ended.size(), 2);
+    cr_assert_eq(look.ended[0].number, 58);
+    cr_assert(look.ended[0].kind == batch::run_end_kind::Done);
+    cr_assert(look.ended[1].kind == batch::run_end_kind::Alone);
+    cr_assert_throw(readLook("nonsense", target), chervilport_error);
+}
+
+// Guards against a refusal that is taken for another one: each has its own consequence.
+Test(workerWire, refusalsKeepTheirReason)
+{
+    cr_assert(readResult(200, R"({"clock_ms":5})").reply == worker_reply::Done);
+    cr_assert(readResult(409, R"({"clock_ms":5,"reason":"fence"})").reply == worker_reply::Fenced);
+    cr_assert(readResult(409, R"({"reason":"old"})").reply == worker_reply::OutdatedRun);
+    cr_assert(readResult(409, R"({"reason":"late"})").reply == worker_reply::TooLate);
+    cr_assert(readResult(409, R"({"reason":"room"})").reply == worker_reply::NoRoom);
+    cr_assert(readResult(409, "x").reply == worker_reply::Refused);
+    cr_assert(readResult(421, "").reply == worker_reply::OtherLife);
+    cr_assert(readResult(503, "").reply == worker_reply::Unhealthy);
+    cr_assert(readResult(500, "").reply == worker_reply::NoAnswer);
+    cr_assert(!readResult(500, "").clockMs.has_value());
+}
+
+// Guards against settings that are read in part, or a process that starts without them.
+Test(bootSettings, settingsFileIsRead)
+{
+    const auto core = parseBootSettings(golden("core.toml"));
+    cr_assert(core.node.name == "core-pnw-sea-1");
+    cr_assert_eq(core.node.peerPort, 7'000);
+    cr_assert_eq(core.node.seeds.size(), 3);
+    cr_assert(core.node.seeds[1].ip == "10.2.0.38");
+    cr_assert_eq(core.node.seeds[1].port, 7'000);
+    cr_assert(core.node.mayFound);
+    cr_assert(core.node.dataFolder == "/data/my-core");
+    cr_assert(core.controlListen == "10.1.0.22:8526");
+    cr_assert(core.callerListen.empty());
+    cr_assert_eq(core.node.stopGrace.count(), 6'000);
+    cr_assert_eq(core.node.workers.longestLease.count(), 10'000);
+    cr_assert_throw(parseBootSettings("node_name = "), chervilport_error);
+    cr_assert_throw(parseBootSettings("node_name = 'x'"), chervilport_error);
+}
