--- a/chervilport/control/leader_relay.cpp
+++ b/chervilport/control/leader_relay.cpp
@@ -23,8 +23,9 @@
     constexpr std::chrono::milliseconds statusTimeout { 600 };
     /// Time after which an unanswered call is passed on again.
     constexpr std::chrono::milliseconds attemptTimeout { 900 };
-    /// Without an answer for this long there is no path to a leader.
-    constexpr std::chrono::milliseconds leaderExpiry { 2'500 };
+    /// Without an answer for this long there is no path to a leader: calls are refused at once, and the balancer is told
+    /// to use other instances. An election of the control group takes less.
+    constexpr std::chrono::milliseconds leaderExpiry { 2'000 };
     /// Pause after an instance that should lead refused to.
     constexpr std::chrono::milliseconds refusedPause { 40 };
 
@@ -190,6 +191,10 @@
         finish(call, { std::nullopt, call->maybeRun });
         return;
     }
+    if (!m_leader && silence(now) >= leaderExpiry) {
+        finish(call, { std::nullopt, call->maybeRun });
+        return;
+    }
     if (!m_leader || now < call->notBefore) {
         m_waiting.push_back(call);
         return;
