Take a member with a failed disk back in, and let lost workers' runs lapse

Change: control_node reads the disk again every 500 ms and begins anew with what it holds. Change: looks after a failed one grant no lease, and starts wait until the worker answers. The test fails without the change.

--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -103,6 +103,12 @@
 
 void batch_controller::loadSnapshot(std::string_view bytes) { m_state = batch::decodeState(bytes); }
 
+void batch_controller::reset()
+{
+    resign();
+    m_state = {};
+}
+
 void batch_controller::noteStatus(const replica_status& status)
 {
     const bool leads = status.role == replica_role::Leader && status.ready;
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -54,6 +54,9 @@
     /// Replaces the state.
     void loadSnapshot(std::string_view);
 
+    /// Gives up leadership and forgets the state, before it is read again from storage.
+    void reset();
+
     /// Takes up or gives up leadership.
     void noteStatus(const replica_status&);
 
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -3,6 +3,7 @@
 #include "chervilport/batch/batch_apply.h"
 #include "chervilport/consensus/membership_rules.h"
 #include "chervilport/control/node_address.h"
+#include "chervilport/core/chervilport_error.h"
 #include "chervilport/instance/instance_storage.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/peer_network.h"
@@ -34,6 +35,8 @@
     constexpr std::chrono::milliseconds recentAdmission { 15'000 };
     /// Time without a connection after which a member is removed when there are more than the tolerated losses need.
     constexpr std::chrono::milliseconds removeTime { 20'000 };
+    /// Pause between two attempts to read the disk again after it failed.
+    constexpr std::chrono::milliseconds restoreInterval { 500 };
     /// Time for the transfer of leadership at a planned stop.
     constexpr std::chrono::milliseconds transferTime { 1'500 };
     constexpr std::chrono::milliseconds transferPoll { 50 };
@@ -118,21 +121,44 @@
     link.mayAct = [this] { return m_group->mayExecute(); };
     m_jobs = std::make_shared<batch_controller>(context, values.workers, std::move(port), std::move(link));
 
-    replica_group_hooks groupHooks;
-    groupHooks.apply = [this](std::string_view payload) { m_jobs->apply(payload); };
-    groupHooks.takeSnapshot = [this] { return m_jobs->takeSnapshot(); };
-    groupHooks.loadSnapshot = [this](std::string_view data) { m_jobs->loadSnapshot(data); };
-    groupHooks.send
-        = [this](std::vector<message> messages) { m_network->send(replication_scope::Fleet, std::move(messages)); };
-    groupHooks.statusChanged = [this](const replica_status& status) { noteStatus(status); };
-    m_group = std::make_shared<replica_group>(
-        context, groupName, config, m_storage->openGroup(groupName), std::move(groupHooks));
+    m_group = makeGroup();
     m_relay = std::make_shared<leader_relay>(context, *m_network, config.self.id);
     m_relay->membersChanged = [this](const std::vector<member_id>&) { updatePeers(); };
 }
 
 control_node::~control_node() = default;
 
+std::shared_ptr<replica_group> control_node::makeGroup()
+{
+    replica_group_hooks hooks;
+    hooks.apply = [this](std::string_view payload) { m_jobs->apply(payload); };
+    hooks.takeSnapshot = [this] { return m_jobs->takeSnapshot(); };
+    hooks.loadSnapshot = [this](std::string_view data) { m_jobs->loadSnapshot(data); };
+    hooks.send
+        = [this](std::vector<message> messages) { m_network->send(replication_scope::Fleet, std::move(messages)); };
+    hooks.statusChanged = [this](const replica_status& status) { noteStatus(status); };
+    return std::make_shared<replica_group>(
+        m_context, groupName, groupConfig(m_settings, *m_storage), m_storage->openGroup(groupName), std::move(hooks));
+}
+
+void control_node::restoreAfterFailure(log_time now)
+{
+    if (!m_group->hasFailed() || now < m_nextRestore)
+        return;
+    m_nextRestore = now + restoreInterval;
+    // What the failed write left on the disk is not known, so the member begins again with what can be read.
+    m_group->stop();
+    m_jobs->reset();
+    m_group = makeGroup();
+    try {
+        m_group->start();
+        logEvent("storage_restored", { { "applied", m_group->appliedIndex() } });
+    } catch (const chervilport_error& error) {
+        logEvent("storage_unusable", { { "reason", error.what() } }, log_level::Warning);
+        m_group->abandon(error.what());
+    }
+}
+
 void control_node::start()
 {
     m_lastLed = monotonicNow();
@@ -317,6 +343,7 @@
 void control_node::tick()
 {
     const auto now = monotonicNow();
+    restoreAfterFailure(now);
     joinIfNeeded(now);
     if (mayServe())
         removeLost(now);
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -61,6 +61,8 @@
 private:
     struct timer;
 
+    std::shared_ptr<replica_group> makeGroup();
+    void restoreAfterFailure(log_time now);
     void serveFromPeer(const std::shared_ptr<control_call>&);
     bool serveCluster(const std::shared_ptr<control_call>&);
     http_response admit(const member& joining);
@@ -84,6 +86,7 @@
     std::vector<peer_address> m_peers;
     /// Peers without a connection, and since when.
     std::map<member_id, log_time> m_lostSince;
+    log_time m_nextRestore;
     log_time m_lastAdmission;
     log_time m_lastJoin;
     log_time m_lastLed;
--- a/chervilport/control/leader_relay.cpp
+++ b/chervilport/control/leader_relay.cpp
@@ -23,8 +23,8 @@
     constexpr std::chrono::milliseconds statusTimeout { 600 };
     /// Time after which an unanswered call is passed on again.
     constexpr std::chrono::milliseconds attemptTimeout { 900 };
-    /// Without an answer for this long there is no path to a leader: calls are refused at once, and the balancer is told
-    /// to use other instances. An election of the control group takes less.
+    /// Without an answer for this long there is no path to a leader: calls are refused at once, and the balancer is
+    /// told to use other instances. An election of the control group takes less.
     constexpr std::chrono::milliseconds leaderExpiry { 2'000 };
     /// Pause after an instance that should lead refused to.
     constexpr std::chrono::milliseconds refusedPause { 40 };
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -158,7 +158,7 @@
         return;
     settleExpired();
     for (auto& [run, tracker] : m_runs) {
-        if (tracker.phase == start_phase::Retry && m_looked && !tracker.stopWanted)
+        if (tracker.phase == start_phase::Retry && m_looked && m_failedLooks == 0 && !tracker.stopWanted)
             sendStart(tracker);
         else if (tracker.stopWanted && !tracker.stopConfirmed)
             sendStop(tracker);
@@ -178,7 +178,8 @@
     order.fence = m_host.term;
     m_acknowledged = std::max(m_acknowledged, m_listed);
     order.acknowledgedEnd = m_acknowledged;
-    if (m_clock.readingMs && !m_runs.empty())
+    // A look that may not be answered must not prolong the lease, or a lost worker's runs would never lapse.
+    if (m_clock.readingMs && !m_runs.empty() && m_failedLooks == 0)
         order.leaseUntilMs = grantLease(m_clock, leaseLength, now);
     if (m_looked && m_failedLooks == 0 && !m_runs.empty() && !m_lookAgain)
         order.wait = lookWait;
--- a/chervilport/instance/replica_group.cpp
+++ b/chervilport/instance/replica_group.cpp
@@ -285,7 +285,8 @@
 {
     logError(m_name, "storage failed, this member takes no further part: " + reason);
     m_failed = true;
-    m_lastStatus = statusOf(*m_replica);
+    if (m_replica)
+        m_lastStatus = statusOf(*m_replica);
     m_lastStatus.role = replica_role::Learner;
     m_lastStatus.ready = false;
     auto pending = std::exchange(m_pending, {});
--- a/chervilport/instance/replica_group.h
+++ b/chervilport/instance/replica_group.h
@@ -84,6 +84,9 @@
     /// Returns whether storage failed, so that this member no longer takes part.
     bool hasFailed() const { return m_failed; }
 
+    /// Takes no part, as after a failure of storage; for a group whose `start` has thrown.
+    void abandon(const std::string& reason) { fail(reason); }
+
     /// Returns the index of the last command applied.
     std::uint64_t appliedIndex() const { return m_appliedIndex; }
 
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -198,6 +198,32 @@
     cr_assert(bench.ends().front() == batch::run_end_kind::Lapsed);
 }
 
+// Guards against a lost worker whose runs never lapse because each look in vain prolongs its lease, as on the day
+// executors-cut.
+Test(workerSession, looksInVainDoNotProlongTheLease)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.running = { { firstRun, "", 10 } };
+    bench.worker.holdLooks = false;
+    bench.worker.lookReplies = { worker_reply::Done, worker_reply::NoAnswer, worker_reply::NoAnswer };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.context.restart();
+    bench.context.run_one();
+    bench.context.run_one();
+    cr_assert_eq(bench.worker.looks.size(), 2);
+    cr_assert(bench.worker.looks[1].leaseUntilMs.has_value());
+    session->tick(monotonicNow() + 1s);
+    cr_assert_eq(bench.worker.looks.size(), 3);
+    cr_assert(!bench.worker.looks[2].leaseUntilMs.has_value());
+    cr_assert(bench.ends().empty());
+    session->tick(monotonicNow() + 8s);
+    bench.settle();
+    cr_assert_eq(bench.ends().size(), 1);
+    cr_assert(bench.ends().front() == batch::run_end_kind::Lapsed);
+}
+
 // Guards against orders of an instance that may no longer lead.
 Test(workerSession, givesNoOrdersWithoutTheLease)
 {
