--- /dev/null
+++ b/chervilport/batch/batch_command.cpp
@@ -0,0 +1,26 @@
+#include "chervilport/batch/batch_command.h"
+
+namespace chervilport::batch {
+
+std::string_view nameOf(run_end_kind kind)
+{
+    switch (kind) {
+    case run_end_kind::Done:
+        return "done";
+    case run_end_kind::Failed:
+        return "failed";
+    case run_end_kind::Stopped:
+        return "stopped";
+    case run_end_kind::Lapsed:
+        return "lapsed";
+    case run_end_kind::Broken:
+        return "broken";
+    case run_end_kind::Alone:
+        return "alone";
+    case run_end_kind::NotStarted:
+        return "not_started";
+    }
+    return "unknown";
+}
+
+} // namespace chervilport::batch
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -48,6 +49,9 @@
     NotStarted,
 };
 
+/// Returns the name of a kind for logs and metrics.
+std::string_view nameOf(run_end_kind);
+
 /// Notes the end of a run.
 struct run_ended {
     run_ref run;
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -2,10 +2,12 @@
 
 #include "chervilport/batch/batch_apply.h"
 #include "chervilport/batch/batch_codec.h"
+#include "chervilport/batch/job_admission.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
+#include "chervilport/metrics/metric_registry.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -23,6 +25,7 @@
     constexpr int gangPatiencePercent = 55;
     /// Added to the leases that an earlier leader may have granted.
     constexpr std::chrono::milliseconds earlierLeaseSlack { 500 };
+    constexpr double msPerSecond = 1'000.0;
     /// A worker's clock can be slow by two percent: fifty parts of lease last at most 51.
     constexpr int clockParts = 50;
 
@@ -43,12 +46,13 @@
     asio::steady_timer pass;
 };
 
-batch_controller::batch_controller(
-    asio::io_context& context, const worker_bounds& bounds, worker_port port, group_link link)
+batch_controller::batch_controller(asio::io_context& context, const worker_bounds& bounds, worker_port port,
+    group_link link, std::shared_ptr<metric_registry> metrics)
     : m_context(context)
     , m_bounds(bounds)
     , m_port(std::move(port))
     , m_link(std::move(link))
+    , m_metrics(std::move(metrics))
     , m_timer(std::make_unique<timer>(context))
     , m_queue(std::make_shared<command_queue>(context, m_link.propose))
 {
@@ -86,6 +90,41 @@
     requestPass();
 }
 
+void batch_controller::observeStart(const batch::run_assigned& assigned)
+{
+    const auto& job = m_state.jobs.at(assigned.run.task.job);
+    m_metrics->increment("chervilport_runs_started_total", { { "queue", job.queue } });
+    const bool first = job.activeRuns == 1 && assigned.run.run == 1 && assigned.run.task.step == 0;
+    if (first)
+        m_metrics->observe("chervilport_queue_wait_seconds", { { "queue", job.queue }, { "workspace", job.workspace } },
+            static_cast<double>(m_state.timeMs - batch::dueMs(job, assigned.run.task.occurrence)) / msPerSecond);
+}
+
+void batch_controller::recordGauges() const
+{
+    std::size_t active = 0;
+    std::size_t runs = 0;
+    std::map<std::string, std::size_t> pending;
+    for (const auto& queue : m_state.config.queues)
+        pending[queue.name] = batch::countPendingJobs(m_state, queue.name);
+    for (const auto& [id, job] : m_state.jobs) {
+        active += job.phase == batch::job_phase::Active ? 1 : 0;
+        runs += job.activeRuns;
+    }
+    std::size_t usable = 0;
+    for (const auto& [number, condition] : conditions())
+        usable += condition.usable ? 1 : 0;
+    m_metrics->set("chervilport_leader", {}, m_leading ? 1 : 0);
+    m_metrics->set("chervilport_term", {}, static_cast<double>(m_term));
+    m_metrics->set("chervilport_config_version", {}, static_cast<double>(m_state.config.version));
+    m_metrics->set("chervilport_jobs_active", {}, static_cast<double>(active));
+    m_metrics->set("chervilport_runs_active", {}, static_cast<double>(runs));
+    m_metrics->set("chervilport_workers", { { "state", "known" } }, static_cast<double>(m_state.workers.size()));
+    m_metrics->set("chervilport_workers", { { "state", "usable" } }, static_cast<double>(usable));
+    for (const auto& [queue, count] : pending)
+        m_metrics->set("chervilport_jobs_pending", { { "queue", queue } }, static_cast<double>(count));
+}
+
 void batch_controller::noteRunTimes(const batch::command_batch& batch)
 {
     for (const auto& command : batch.commands) {
@@ -120,7 +159,13 @@
 
 void batch_controller::propose(batch::batch_command command, command_queue::callback done)
 {
-    m_queue->add(std::move(command), std::move(done));
+    const auto begin = monotonicNow();
+    m_queue->add(std::move(command), [this, begin, done = std::move(done)](proposal_result result) {
+        m_metrics->observe("chervilport_commit_seconds",
+            { { "result", result == proposal_result::Committed ? "committed" : "unknown" } },
+            std::chrono::duration<double>(monotonicNow() - begin).count());
+        done(result);
+    });
 }
 
 void batch_controller::lead(std::uint64_t term)
@@ -186,6 +231,7 @@
     host.started = [this](const batch::run_ref& run) { noteStartedRun(run); };
     host.ended = [this, number](const batch::run_ref& run, batch::run_end_kind kind) {
         m_memory.stopping.erase(run);
+        m_metrics->increment("chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(kind)) } });
         if (noteEnd(m_soundness[number], kind, monotonicNow()))
             logEvent("worker_quarantined", { { "worker", static_cast<std::uint32_t>(number) } }, log_level::Warning);
     };
@@ -326,6 +372,7 @@
         const auto session = task == nullptr ? m_sessions.end() : m_sessions.find(task->worker);
         if (session == m_sessions.end())
             continue;
+        m_metrics->increment("chervilport_runs_preempted_total", {});
         logEvent("run_preempted", { { "run", describe(run) }, { "worker", static_cast<std::uint32_t>(task->worker) } });
         session->second->stopRun(run);
     }
@@ -354,6 +401,7 @@
             continue;
         logEvent("run_assigned",
             { { "run", describe(assigned->run) }, { "worker", m_state.workers.at(assigned->worker).report.id } });
+        observeStart(*assigned);
         session->second->startRun(assigned->run);
     }
 }
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -23,6 +23,8 @@
 
 namespace chervilport {
 
+class metric_registry;
+
 /// The jobs of a site: applies the committed commands on every member of the control group and, on the leader, decides
 /// what runs where and deals with the workers. All functions are called on the control thread.
 class batch_controller : public std::enable_shared_from_this<batch_controller> {
@@ -36,7 +38,8 @@
     };
 
     /// Creates a controller that is no leader.
-    batch_controller(asio::io_context&, const worker_bounds&, worker_port, group_link);
+    batch_controller(
+        asio::io_context&, const worker_bounds&, worker_port, group_link, std::shared_ptr<metric_registry>);
     ~batch_controller();
 
     /// Starts the timer.
@@ -63,6 +66,12 @@
     /// Returns the agreed state.
     const batch::batch_state& state() const { return m_state; }
 
+    /// Sets the gauges of the jobs and workers.
+    void recordGauges() const;
+
+    /// Returns the registry of the process.
+    metric_registry& metrics() const { return *m_metrics; }
+
     /// Proposes a command; leader only.
     void propose(batch::batch_command, command_queue::callback);
 
@@ -80,6 +89,7 @@
     void noteStartedRun(const batch::run_ref&);
     void requestPass();
     void pass();
+    void observeStart(const batch::run_assigned&);
     void noteRunTimes(const batch::command_batch&);
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
@@ -89,6 +99,7 @@
     worker_bounds m_bounds;
     worker_port m_port;
     group_link m_link;
+    std::shared_ptr<metric_registry> m_metrics;
     std::unique_ptr<timer> m_timer;
     batch::batch_state m_state;
     std::shared_ptr<command_queue> m_queue;
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -8,6 +8,7 @@
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/peer_network.h"
 #include "chervilport/logging/event_log.h"
+#include "chervilport/metrics/metric_registry.h"
 
 #include <algorithm>
 #include <asio/io_context.hpp>
@@ -86,8 +87,8 @@
     asio::steady_timer transfer;
 };
 
-control_node::control_node(
-    asio::io_context& context, const node_settings& values, worker_port port, serve_function serve)
+control_node::control_node(asio::io_context& context, const node_settings& values, worker_port port,
+    serve_function serve, std::shared_ptr<metric_registry> metrics)
     : m_context(context)
     , m_settings(values)
     , m_serve(std::move(serve))
@@ -119,7 +120,8 @@
         m_group->propose(std::move(payload), std::move(done));
     };
     link.mayAct = [this] { return m_group->mayExecute(); };
-    m_jobs = std::make_shared<batch_controller>(context, values.workers, std::move(port), std::move(link));
+    m_jobs = std::make_shared<batch_controller>(
+        context, values.workers, std::move(port), std::move(link), std::move(metrics));
 
     m_group = makeGroup();
     m_relay = std::make_shared<leader_relay>(context, *m_network, config.self.id);
@@ -227,6 +229,18 @@
     return addressOf(*status.leader).ip;
 }
 
+void control_node::recordGauges() const
+{
+    auto& metrics = m_jobs->metrics();
+    const auto status = m_group->status();
+    metrics.set("chervilport_members", { { "part", "voter" } }, static_cast<double>(status.members.voters.size()));
+    metrics.set("chervilport_members", { { "part", "learner" } }, static_cast<double>(status.members.learners.size()));
+    metrics.set("chervilport_commit_index", {}, static_cast<double>(status.commitIndex));
+    metrics.set("chervilport_applied_index", {}, static_cast<double>(m_group->appliedIndex()));
+    metrics.set("chervilport_storage_failed", {}, m_group->hasFailed() ? 1 : 0);
+    m_jobs->recordGauges();
+}
+
 void control_node::dispatch(std::shared_ptr<control_call> call, std::string name)
 {
     if (mayServe()) {
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -28,7 +28,8 @@
     using serve_function = std::function<void(std::shared_ptr<control_call>)>;
 
     /// Creates an instance that is not started. Throws chervilport_error `StorageFailure`.
-    control_node(asio::io_context&, const node_settings&, worker_port, serve_function);
+    control_node(
+        asio::io_context&, const node_settings&, worker_port, serve_function, std::shared_ptr<metric_registry>);
     ~control_node();
 
     /// Loads the state, listens for other instances and takes part. Throws chervilport_error.
@@ -55,6 +56,9 @@
     /// Returns the address of the leader, if it is known and is another instance.
     std::optional<std::string> leaderIp() const;
 
+    /// Sets the gauges of the member and its jobs.
+    void recordGauges() const;
+
     /// Returns the jobs.
     batch_controller& jobs() { return *m_jobs; }
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -60,27 +60,6 @@
         return "unknown";
     }
 
-    const char* nameOf(batch::run_end_kind kind)
-    {
-        switch (kind) {
-        case batch::run_end_kind::Done:
-            return "done";
-        case batch::run_end_kind::Failed:
-            return "failed";
-        case batch::run_end_kind::Stopped:
-            return "stopped";
-        case batch::run_end_kind::Lapsed:
-            return "lapsed";
-        case batch::run_end_kind::Broken:
-            return "broken";
-        case batch::run_end_kind::Alone:
-            return "alone";
-        case batch::run_end_kind::NotStarted:
-            return "not_started";
-        }
-        return "unknown";
-    }
-
 } // namespace
 
 worker_session::worker_session(session_host host, batch::worker_number worker, log_time leaseEnd)
@@ -436,7 +415,7 @@
     tracker.endProposed = true;
     ++m_proposalsOpen;
     logEvent("run_ended",
-        { { "run", describe(tracker.run) }, { "worker", workerName(record()) }, { "how", nameOf(kind) },
+        { { "run", describe(tracker.run) }, { "worker", workerName(record()) }, { "how", batch::nameOf(kind) },
             { "saved", tracker.checkpoint } });
     m_host.ended(tracker.run, kind);
     m_host.propose(batch::run_ended { tracker.run, m_worker, kind, tracker.checkpoint },
