Leave overdue jobs out of the guarantee, and use the rooms of a stopped gang first

Change: coverage leaves out jobs that are past use; a job that has begun before reclaims only while it can be in time; the mates of a stopped gang member count as stopping. Runs that are gone leave the leader's list of stops.

--- a/chervilport/batch/guarantee_cover.cpp
+++ b/chervilport/batch/guarantee_cover.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/batch/guarantee_cover.h"
 
+#include "chervilport/batch/job_urgency.h"
+
 #include <algorithm>
 #include <map>
 #include <vector>
@@ -14,11 +16,12 @@
     return sum;
 }
 
-std::set<std::string> coveredJobs(const batch_state& state)
+std::set<std::string> coveredJobs(const batch_state& state, const run_estimates& estimates, std::int64_t nowMs)
 {
     std::map<std::string, std::vector<const job_record*>> byWorkspace;
     for (const auto& [id, job] : state.jobs) {
-        if (job.phase == job_phase::Active && job.priority == guaranteedPriority)
+        if (job.phase == job_phase::Active && job.priority == guaranteedPriority
+            && !isPastUse(state, estimates, job, nowMs))
             byWorkspace[job.workspace].push_back(&job);
     }
     std::set<std::string> covered;
--- a/chervilport/batch/job_urgency.cpp
+++ b/chervilport/batch/job_urgency.cpp
@@ -9,14 +9,32 @@
 
 } // namespace
 
+double objectiveMs(const batch_state& state, const run_estimates& estimates, const job_record& job)
+{
+    const auto* const queue = findQueue(state.config, job.queue);
+    const auto stretch = queue != nullptr ? queue->stretch : 1.0;
+    const auto target = queue != nullptr ? static_cast<double>(queue->targetMs) : 0.0;
+    return stretch * expectedChainMs(estimates, job) + target;
+}
+
+bool isPastUse(const batch_state& state, const run_estimates& estimates, const job_record& job, std::int64_t nowMs)
+{
+    if (job.request.repeatCount > 0 || job.request.steps.front().longRunning)
+        return false;
+    // A job without a run has all of its chain before it; of one that runs, nothing is known but its age.
+    const auto left = job.activeRuns == 0 && job.occurrencesDone == 0 && !job.occurrences.empty()
+        ? expectedRunMs(estimates, job, job.request.steps.back())
+        : (job.begun ? 0.0 : expectedChainMs(estimates, job));
+    const auto finish = static_cast<double>(nowMs - job.acceptedMs) + left;
+    return finish > uselessAfter * objectiveMs(state, estimates, job);
+}
+
 job_outlook judgeOutlook(
     const batch_state& state, const run_estimates& estimates, const ready_step& ready, std::int64_t nowMs)
 {
-    const auto* const queue = findQueue(state.config, ready.job->queue);
-    if (queue == nullptr || specOf(ready).longRunning)
+    if (specOf(ready).longRunning)
         return job_outlook::InTime;
-    const auto objective
-        = queue->stretch * expectedChainMs(estimates, *ready.job) + static_cast<double>(queue->targetMs);
+    const auto objective = objectiveMs(state, estimates, *ready.job);
     const auto age = static_cast<double>(nowMs - ready.readySinceMs);
     const auto finish = age + expectedChainMs(estimates, *ready.job, ready.step);
     if (finish <= objective)
--- a/chervilport/batch/job_urgency.h
+++ b/chervilport/batch/job_urgency.h
@@ -18,6 +18,12 @@
     Overdue,
 };
 
+/// Returns the latency objective of a job in milliseconds.
+double objectiveMs(const batch_state&, const run_estimates&, const job_record&);
+
+/// Whether the result of a job will come too late to be of use, whatever happens from now on.
+bool isPastUse(const batch_state&, const run_estimates&, const job_record&, std::int64_t nowMs);
+
 /// Judges a ready step by its job's objective, its age and the work that is left.
 job_outlook judgeOutlook(const batch_state&, const run_estimates&, const ready_step&, std::int64_t nowMs);
 
--- a/chervilport/batch/preemption.cpp
+++ b/chervilport/batch/preemption.cpp
@@ -54,6 +54,21 @@
         return offer;
     }
 
+    bool isSameStep(const run_ref& left, const run_ref& right)
+    {
+        return left.task.job == right.task.job && left.task.occurrence == right.task.occurrence
+            && left.task.step == right.task.step;
+    }
+
+    /// The rest of a gang ends with its first victim, so its room is had for nothing.
+    void markGangMates(std::vector<preemption_victim>& victims, const preemption_victim& chosen)
+    {
+        if (!chosen.gang)
+            return;
+        for (auto& each : victims)
+            each.stopping = each.stopping || isSameStep(each.run, chosen.run);
+    }
+
 } // namespace
 
 std::vector<preemption_victim> listVictims(const batch_state& state, const std::set<std::string>& covered,
@@ -72,8 +87,8 @@
                         continue;
                     const run_ref run { { id, number, step, i }, tasks[i].lastRun };
                     const bool ends = stopping.contains(run) || job.phase != job_phase::Active;
-                    victims.push_back(
-                        { run, tasks[i].worker, chargedDemand(spec), lostWork(spec, tasks[i], nowMs), ends });
+                    victims.push_back({ run, tasks[i].worker, chargedDemand(spec), lostWork(spec, tasks[i], nowMs),
+                        spec.gang, ends });
                 }
             }
         }
@@ -116,6 +131,7 @@
             addTimes(slot.promised, victims[each].room, 1);
             choice.victims.push_back(victims[each].run);
             victims[each].worker = noWorker;
+            markGangMates(victims, victims[each]);
         }
         addTimes(slot.free, demand, -1);
         choices.push_back(std::move(choice));
--- a/chervilport/batch/preemption.h
+++ b/chervilport/batch/preemption.h
@@ -19,6 +19,8 @@
     resource_demand room;
     /// Work that would be lost, in core-seconds with an accelerator counted as eight cores.
     double lostWork = 0;
+    /// Whether its end ends the other runs of its step too.
+    bool gang = false;
     /// Whether it has been told to stop already.
     bool stopping = false;
 };
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -4,6 +4,7 @@
 #include "chervilport/batch/job_urgency.h"
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
+#include "chervilport/batch/run_accounting.h"
 #include "chervilport/batch/worker_slot.h"
 
 #include <algorithm>
@@ -50,8 +51,12 @@
         return slots;
     }
 
-    void forgetExpired(scheduling_memory& memory, std::int64_t nowMs)
+    void forgetExpired(const batch_state& state, scheduling_memory& memory, std::int64_t nowMs)
     {
+        std::erase_if(memory.stopping, [&](const run_ref& run) {
+            const auto* const task = findTask(state, run.task);
+            return task == nullptr || task->worker == noWorker || task->lastRun != run.run;
+        });
         std::erase_if(memory.reservations, [&](const auto& entry) { return entry.second.expiresMs <= nowMs; });
     }
 
@@ -76,7 +81,10 @@
             const bool waited = current.nowMs - each.readySinceMs > keptWaitMs;
             each.mayUseKept = each.job->priority == guaranteedPriority || (idle && waited);
             const auto outlook = judgeOutlook(current.state, current.memory.estimates, each, current.nowMs);
-            const bool covered = current.covered.contains(each.job->request.id);
+            // A guarantee brings a job in at once. One that has begun before and lost its runs takes others' room only
+            // while it can still be in time.
+            const bool mayReclaim = outlook == job_outlook::InTime || !each.job->begun;
+            const bool covered = mayReclaim && current.covered.contains(each.job->request.id);
             ranked.push_back({ std::move(each), covered, outlook });
         }
         const auto key = [](const ranked_step& each) {
@@ -153,8 +161,9 @@
 scheduling_result planPass(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
     scheduling_memory& memory, std::int64_t nowMs)
 {
-    forgetExpired(memory, nowMs);
-    pass current { state, memory, nowMs, coveredJobs(state), makeSlots(state, conditions, memory), {} };
+    forgetExpired(state, memory, nowMs);
+    pass current { state, memory, nowMs, coveredJobs(state, memory.estimates, nowMs),
+        makeSlots(state, conditions, memory), {} };
     keepForUrgent(current.slots, notePeak(memory.urgentDemand, urgentDemand(state, current.slots), nowMs));
     std::vector<preemption_victim> victims;
     bool victimsListed = false;
