--- a/chervilport/batch/job_record.h
+++ b/chervilport/batch/job_record.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilport::batch {
@@ -18,6 +19,9 @@
     Cancelled,
 };
 
+/// Returns the name of a phase for logs.
+std::string_view nameOf(job_phase);
+
 /// Progress of one task.
 struct task_record {
     /// Number of the last run; 0 before the first.
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -125,7 +125,7 @@
             current.slots[choice.slot].reservedFor = ready.job->request.id;
             for (const auto& run : choice.victims) {
                 if (current.memory.stopping.insert(run).second)
-                    current.result.preempted.push_back(run);
+                    current.result.preempted.push_back({ run, ready.job->request.id });
             }
         }
     }
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -41,12 +41,19 @@
     urgent_demand_window urgentDemand;
 };
 
+/// A run that has to stop for a job.
+struct preempted_run {
+    run_ref run;
+    /// Job that gets the room.
+    std::string beneficiary;
+};
+
 /// What a pass decided.
 struct scheduling_result {
     /// Runs to begin, to be committed first.
     std::vector<run_assigned> assigned;
     /// Runs to stop so that guaranteed jobs find room.
-    std::vector<run_ref> preempted;
+    std::vector<preempted_run> preempted;
 };
 
 /// Decides which tasks start where. Changes nothing but the memory; `nowMs` are Unix milliseconds.
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -11,6 +11,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <set>
 #include <utility>
 
 namespace chervilport {
@@ -76,6 +77,8 @@
     if (m_leading)
         noteRunTimes(batch);
     batch::applyBatch(m_state, batch);
+    if (m_leading)
+        logEndedJobs(batch);
     if (!m_leading)
         return;
     updateSessions();
@@ -230,7 +233,6 @@
     host.changed = [this] { requestPass(); };
     host.started = [this](const batch::run_ref& run) { noteStartedRun(run); };
     host.ended = [this, number](const batch::run_ref& run, batch::run_end_kind kind) {
-        m_memory.stopping.erase(run);
         m_metrics->increment("chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(kind)) } });
         if (noteEnd(m_soundness[number], kind, monotonicNow()))
             logEvent("worker_quarantined", { { "worker", static_cast<std::uint32_t>(number) } }, log_level::Warning);
@@ -367,13 +369,15 @@
     if (!m_leading || m_passOpen > 0 || !m_link.mayAct())
         return;
     auto decided = batch::planPass(m_state, conditions(), m_memory, wallMs());
-    for (const auto& run : decided.preempted) {
+    for (const auto& [run, beneficiary] : decided.preempted) {
         const auto* const task = batch::findTask(m_state, run.task);
         const auto session = task == nullptr ? m_sessions.end() : m_sessions.find(task->worker);
         if (session == m_sessions.end())
             continue;
         m_metrics->increment("chervilport_runs_preempted_total", {});
-        logEvent("run_preempted", { { "run", describe(run) }, { "worker", static_cast<std::uint32_t>(task->worker) } });
+        logEvent("run_preempted",
+            { { "run", describe(run) }, { "worker", m_state.workers.at(task->worker).report.id },
+                { "for", beneficiary } });
         session->second->stopRun(run);
     }
     if (decided.assigned.empty())
@@ -390,6 +394,25 @@
     }
 }
 
+void batch_controller::logEndedJobs(const batch::command_batch& batch) const
+{
+    std::set<std::string> touched;
+    for (const auto& command : batch.commands) {
+        if (const auto* const ended = std::get_if<batch::run_ended>(&command))
+            touched.insert(ended->run.task.job);
+    }
+    for (const auto& id : touched) {
+        const auto* const job = batch::findJob(m_state, id);
+        if (job == nullptr || job->phase == batch::job_phase::Active || job->endedMs != m_state.timeMs)
+            continue;
+        logEvent("job_ended",
+            { { "job", id }, { "queue", job->queue }, { "phase", batch::nameOf(job->phase) },
+                { "age_ms", job->endedMs - job->acceptedMs } });
+        m_metrics->observe("chervilport_job_seconds", { { "queue", job->queue }, { "workspace", job->workspace } },
+            static_cast<double>(job->endedMs - job->acceptedMs) / msPerSecond);
+    }
+}
+
 void batch_controller::startAssigned(const batch::command_batch& batch)
 {
     for (const auto& command : batch.commands) {
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -91,6 +91,7 @@
     void pass();
     void observeStart(const batch::run_assigned&);
     void noteRunTimes(const batch::command_batch&);
+    void logEndedJobs(const batch::command_batch&) const;
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
     session_host makeHost(batch::worker_number);
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -142,16 +142,22 @@
     site.addWorkers(8);
     const auto kept = site.submit(urgentQueue, { stepOf(4, 8) });
     site.pass();
+    // The first gang goes to the soundest workers, which are not neighbours, so that the second one lies between.
+    const std::int32_t weights[] = { 0, 0, 0, 0, 1, 2, 2, 1 };
+    std::size_t next = 0;
+    for (auto& [number, condition] : site.conditions)
+        condition.failureWeight = weights[next++];
     std::vector<std::string> gangs;
     for (int i = 0; i < 2; ++i)
         gangs.push_back(site.submit(normalQueue, { gangStep(2, 8) }));
     site.pass();
     cr_assert_eq(site.activeRuns(gangs[0]).size() + site.activeRuns(gangs[1]).size(), 4);
+    site.advance(3'000);
     site.submit(urgentQueue, { stepOf(2, 8) });
     const auto decided = site.pass();
     std::set<std::string> stopped;
     for (const auto& run : decided.preempted)
-        stopped.insert(run.task.job);
+        stopped.insert(run.run.task.job);
     cr_assert_eq(stopped.size(), 1);
     cr_assert_eq(site.activeRuns(kept).size(), 4);
 }
