--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -232,7 +232,7 @@
     };
     host.changed = [this] { requestPass(); };
     host.started = [this](const batch::run_ref& run) { noteStartedRun(run); };
-    host.ended = [this, number](const batch::run_ref& run, batch::run_end_kind kind) {
+    host.ended = [this, number](const batch::run_ref&, batch::run_end_kind kind) {
         m_metrics->increment("chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(kind)) } });
         if (noteEnd(m_soundness[number], kind, monotonicNow()))
             logEvent("worker_quarantined", { { "worker", static_cast<std::uint32_t>(number) } }, log_level::Warning);
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -147,9 +147,8 @@
     std::size_t next = 0;
     for (auto& [number, condition] : site.conditions)
         condition.failureWeight = weights[next++];
-    std::vector<std::string> gangs;
-    for (int i = 0; i < 2; ++i)
-        gangs.push_back(site.submit(normalQueue, { gangStep(2, 8) }));
+    const std::vector<std::string> gangs { site.submit(normalQueue, { gangStep(2, 8) }),
+        site.submit(normalQueue, { gangStep(2, 8) }) };
     site.pass();
     cr_assert_eq(site.activeRuns(gangs[0]).size() + site.activeRuns(gangs[1]).size(), 4);
     site.advance(3'000);
