Move decisions about calls out of the adapter

Cause: the last read showed that platform/ decided which resend, configuration and report changes something. Change: control/batch_calls holds these decisions with their lines in the log; platform/ decodes and encodes only.

--- /dev/null
+++ b/chervilport/control/batch_calls.cpp
@@ -0,0 +1,119 @@
+#include "chervilport/control/batch_calls.h"
+
+#include "chervilport/batch/batch_apply.h"
+#include "chervilport/batch/config_check.h"
+#include "chervilport/core/chervilport_error.h"
+#include "chervilport/logging/event_log.h"
+
+#include <utility>
+
+namespace chervilport {
+
+namespace {
+
+    /// Proposes a command and tells its end, with a line in the log.
+    void proposeLogged(batch_controller& jobs, batch::batch_command command, const char* event, std::string subject,
+        call_end_callback done)
+    {
+        jobs.propose(
+            std::move(command), [event, subject = std::move(subject), done = std::move(done)](proposal_result result) {
+                const bool committed = result == proposal_result::Committed;
+                logEvent(event, { { "job", subject }, { "outcome", committed ? "committed" : "unknown" } });
+                done(committed ? call_end::InForce : call_end::Unknown);
+            });
+    }
+
+} // namespace
+
+void submitJob(
+    batch_controller& jobs, batch::job_request request, const batch::call_place& place, call_end_callback done)
+{
+    if (batch::findJob(jobs.state(), request.id) != nullptr) {
+        logEvent("job_resent", { { "job", request.id } });
+        done(call_end::InForce);
+        return;
+    }
+    logEvent("job_submitted",
+        { { "job", request.id }, { "queue", place.queue->name }, { "workspace", place.workspace },
+            { "steps", request.steps.size() }, { "tasks", request.steps.front().count },
+            { "accelerators", request.steps.front().demand.accelerators },
+            { "config_version", jobs.state().config.version } });
+    auto id = request.id;
+    proposeLogged(jobs, batch::job_submitted { std::move(request), place.queue->name, place.workspace }, "job_accepted",
+        std::move(id), std::move(done));
+}
+
+void cancelJob(batch_controller& jobs, const std::string& id, call_end_callback done)
+{
+    showJob(jobs, id);
+    proposeLogged(jobs, batch::job_cancelled { id }, "job_cancelled", id, std::move(done));
+}
+
+const batch::job_record& showJob(const batch_controller& jobs, std::string_view id)
+{
+    const auto* const job = batch::findJob(jobs.state(), id);
+    if (job == nullptr)
+        throw chervilport_error(error_kind::Gone, "there is no such job");
+    return *job;
+}
+
+void applyConfig(batch_controller& jobs, batch::site_config config, call_end_callback done)
+{
+    const auto faults = batch::findConfigFaults(config);
+    if (!faults.empty())
+        throw chervilport_error(error_kind::InvalidRequest, faults.front());
+    const auto held = jobs.state().config.version;
+    const auto version = config.version;
+    if (version <= held) {
+        logEvent("config_not_newer", { { "version", version }, { "held", held } });
+        done(call_end::InForce);
+        return;
+    }
+    jobs.propose(
+        batch::config_applied { std::move(config) }, [version, held, done = std::move(done)](proposal_result end) {
+            const bool committed = end == proposal_result::Committed;
+            logEvent("config_applied",
+                { { "version", version }, { "before", held }, { "outcome", committed ? "committed" : "unknown" } });
+            done(committed ? call_end::InForce : call_end::Unknown);
+        });
+}
+
+const batch::site_config& showConfig(const batch_controller& jobs)
+{
+    if (jobs.state().config.version == 0)
+        throw chervilport_error(error_kind::Unavailable, "there is no configuration yet");
+    return jobs.state().config;
+}
+
+void reportWorker(batch_controller& jobs, batch::worker_report report, call_end_callback done)
+{
+    if (batch::isOutdated(jobs.state(), report) || !batch::changesWorker(jobs.state(), report)) {
+        done(call_end::InForce);
+        return;
+    }
+    const auto id = report.id;
+    const char* const condition = report.draining ? "draining" : "ready";
+    jobs.propose(
+        batch::worker_seen { std::move(report) }, [id, condition, done = std::move(done)](proposal_result end) {
+            const bool committed = end == proposal_result::Committed;
+            logEvent("worker_seen",
+                { { "worker", id }, { "condition", condition }, { "outcome", committed ? "committed" : "unknown" } });
+            done(committed ? call_end::InForce : call_end::Unknown);
+        });
+}
+
+void leaveWorker(batch_controller& jobs, const std::string& id, call_end_callback done)
+{
+    const auto* const worker = batch::findWorker(jobs.state(), id);
+    if (worker == nullptr) {
+        done(call_end::InForce);
+        return;
+    }
+    jobs.propose(batch::worker_ended { worker->number }, [id, done = std::move(done)](proposal_result end) {
+        const bool committed = end == proposal_result::Committed;
+        logEvent("worker_left", { { "worker", id }, { "outcome", committed ? "committed" : "unknown" } });
+        done(committed ? call_end::InForce : call_end::Unknown);
+    });
+}
+
+} // namespace chervilport
