Do not pass on a refusal after an attempt that may have run

Cause: leader_relay keeps that an earlier attempt of a call may have been taken up, but a refusal (401, 403, 404, 429, 503) of a later attempt went to the caller as it was. The key or route can be gone by then while the first attempt is in the log, so 'not run' was false. Change: such a refusal becomes 502; success, faults of the call itself and 410 hold for every attempt and pass. Before: refusalAfterAnAttemptThatMayHaveRunIsNotPassedOn fails for 5 of 5 statuses; after: entry tests 5 of 5 pass.

--- a/chervilport/entry/relayed_answer.cpp
+++ b/chervilport/entry/relayed_answer.cpp
@@ -4,11 +4,31 @@
 
 namespace chervilport {
 
+namespace {
+
+    bool isSuccess(int status)
+    {
+        constexpr int firstSuccess = 200;
+        constexpr int lastSuccess = 299;
+        return status >= firstSuccess && status <= lastSuccess;
+    }
+
+    /// Whether an answer would have been the same for an earlier attempt of the call. A fault in the call itself and a
+    /// job that does not exist are; a refusal for want of a key, a route or room depends on when it was decided.
+    bool holdsForEveryAttempt(int status)
+    {
+        return isSuccess(status) || status == answerFor(error_kind::InvalidRequest).httpStatus
+            || status == answerFor(error_kind::TooLarge).httpStatus || status == answerFor(error_kind::Gone).httpStatus;
+    }
+
+} // namespace
+
 http_response answerOf(const relay_outcome& outcome, bool changesSomething)
 {
-    if (outcome.response)
+    const bool mayHaveRun = outcome.maybeRun && changesSomething;
+    if (outcome.response && (!mayHaveRun || holdsForEveryAttempt(outcome.response->status)))
         return *outcome.response;
-    if (outcome.maybeRun && changesSomething)
+    if (mayHaveRun)
         return makeErrorResponse(error_kind::OutcomeUnknown, "the call was passed on and its outcome is not known");
     return makeErrorResponse(error_kind::Unavailable, "there is no path to a leader now");
 }
