Add a fault soak of the real programs on the users' platform

A randomized soak starts three instances of each role as processes on loopback addresses behind a proxy, draws faults from a seed (processes killed, paused, stopped; disks lost or full; links cut, slowed, reset, silent; executors that crash, leave, lose answers, carry orders out late or fail runs) and checks from outside what callers, operators and executors see.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -50,7 +50,7 @@
         settings link;
         link.instanceId = numberOf(memberAt(values.ip, values.peerPort));
         link.clusterId = clusterName;
-        link.peerListen = values.ip + ':' + std::to_string(values.peerPort);
+        link.peerListen = values.bindIp + ':' + std::to_string(values.peerPort);
         return link;
     }
 
--- a/chervilport/control/node_settings.h
+++ b/chervilport/control/node_settings.h
@@ -26,6 +26,8 @@
     std::string name;
     /// IPv4 address for other instances.
     std::string ip;
+    /// IPv4 address to listen on; it differs from `ip` where a forwarder stands before the instance.
+    std::string bindIp;
     /// Port for other instances.
     std::uint16_t peerPort = 0;
     /// Failure domain.
--- a/chervilport/entry/entry_node.cpp
+++ b/chervilport/entry/entry_node.cpp
@@ -24,7 +24,7 @@
         settings link;
         link.instanceId = static_cast<std::uint64_t>(self);
         link.clusterId = clusterName;
-        link.peerListen = values.ip + ':' + std::to_string(values.peerPort);
+        link.peerListen = values.bindIp + ':' + std::to_string(values.peerPort);
         return link;
     }
 
--- a/tests/entry/relayed_answer_test.cpp
+++ b/tests/entry/relayed_answer_test.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-relay_outcome answeredWith(int status, bool earlierAttempt) { return { http_response { status, {}, {} }, earlierAttempt }; }
+relay_outcome answeredWith(int status, bool earlierAttempt)
+{
+    return { http_response { status, {}, {} }, earlierAttempt };
+}
 
 int statusOf(const relay_outcome& outcome, bool changesSomething) { return answerOf(outcome, changesSomething).status; }
 
--- a/tests/session/child_process.cpp
+++ b/tests/session/child_process.cpp
@@ -1,6 +1,7 @@
 #include "tests/session/child_process.h"
 
 #include <csignal>
+#include <fcntl.h>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -9,22 +10,61 @@
 
 namespace chervilport {
 
-child_process::child_process(const std::string& path, const std::vector<std::string>& arguments)
-{
-    // Everything that allocates happens before the fork.
-    std::vector<char*> words { const_cast<char*>(path.c_str()) };
-    for (const auto& argument : arguments)
-        words.push_back(const_cast<char*>(argument.c_str()));
-    words.push_back(nullptr);
-    m_pid = ::fork();
-    if (m_pid < 0)
-        throw std::runtime_error("cannot fork");
-    if (m_pid == 0) {
+namespace {
+
+    /// Returns pointers to the words, with a null pointer at the end.
+    std::vector<char*> pointersTo(const std::vector<std::string>& words)
+    {
+        std::vector<char*> pointers;
+        for (const auto& word : words)
+            pointers.push_back(const_cast<char*>(word.c_str()));
+        pointers.push_back(nullptr);
+        return pointers;
+    }
+
+    std::vector<std::string> commandOf(const std::string& path, const std::vector<std::string>& arguments)
+    {
+        std::vector<std::string> words { path };
+        words.insert(words.end(), arguments.begin(), arguments.end());
+        return words;
+    }
+
+    /// Starts a program; without variables and log file (null) it has the test's own.
+    pid_t launch(const std::vector<std::string>& command, char* const* variables, int log)
+    {
+        // Everything that allocates happens before the fork.
+        const auto words = pointersTo(command);
+        const auto pid = ::fork();
+        if (pid < 0)
+            throw std::runtime_error("cannot fork");
+        if (pid > 0)
+            return pid;
         // A test that crashes must not leave its processes behind.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        ::execv(path.c_str(), words.data());
+        if (log >= 0) {
+            ::dup2(log, STDOUT_FILENO);
+            ::dup2(log, STDERR_FILENO);
+        }
+        ::execve(words.front(), words.data(), variables == nullptr ? environ : variables);
         ::_exit(127);
     }
+
+    int resultOf(int status) { return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status); }
+
+} // namespace
+
+child_process::child_process(const std::string& path, const std::vector<std::string>& arguments)
+    : m_pid(launch(commandOf(path, arguments), nullptr, -1))
+{
+}
+
+child_process::child_process(
+    const std::string& path, const std::vector<std::string>& arguments, const child_environment& environment)
+{
+    constexpr int ownerMayWrite = 0644;
+    const int log = ::open(environment.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, ownerMayWrite);
+    m_pid = launch(commandOf(path, arguments), pointersTo(environment.variables).data(), log);
+    ::close(log);
 }
 
 child_process::~child_process() { kill(); }
@@ -53,7 +93,16 @@
     int status = 0;
     ::waitpid(m_pid, &status, 0);
     m_pid = -1;
-    return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+    return resultOf(status);
+}
+
+std::optional<int> child_process::poll()
+{
+    int status = 0;
+    if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return std::nullopt;
+    m_pid = -1;
+    return resultOf(status);
 }
 
 void child_process::kill()
--- /dev/null
+++ b/tests/soak/executor_fleet.cpp
@@ -0,0 +1,155 @@
+#include "tests/soak/executor_fleet.h"
+
+#include "chervilport/http/http_client.h"
+#include "tests/soak/job_ledger.h"
+#include "tests/soak/soak_site.h"
+
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace chervilport::soak {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto tickInterval = 10ms;
+    constexpr auto heartbeatInterval = 500ms;
+    constexpr auto heartbeatTimeout = 1s;
+    /// Time that a leaving executor goes on working.
+    constexpr auto leaveTime = 3s;
+    /// Time after which another executor takes the place of one that has left.
+    constexpr auto returnTime = 1s;
+    constexpr int ok = 200;
+
+    /// The members of one run of a gang.
+    using gang_key = std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>;
+
+} // namespace
+
+executor_fleet::executor_fleet(asio::io_context& context, soak_site& site, job_ledger& ledger, http_client& client,
+    std::size_t count, std::uint64_t seed)
+    : m_site(site)
+    , m_ledger(ledger)
+    , m_client(client)
+    , m_timer(context)
+    , m_random(seed)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        member added;
+        added.executor
+            = std::make_unique<fake_executor>(context, ledger, "x" + std::to_string(i), seed + i + 1, m_bounds);
+        added.proxy = site.makeExecutorProxy(i, added.executor->port());
+        m_members.push_back(std::move(added));
+    }
+}
+
+void executor_fleet::start() { scheduleTick(); }
+
+void executor_fleet::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const std::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void executor_fleet::tick()
+{
+    const auto now = std::chrono::steady_clock::now();
+    moveGangs(now);
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        auto& each = m_members[i];
+        leaveOrReturn(i, now);
+        each.executor->tick(now);
+        if (each.executor->faults.down == 0 && now >= each.nextHeartbeat) {
+            each.nextHeartbeat = now + heartbeatInterval;
+            sendHeartbeat(i);
+        }
+    }
+}
+
+void executor_fleet::moveGangs(std::chrono::steady_clock::time_point now)
+{
+    std::map<gang_key, std::size_t> present;
+    for (const auto& each : m_members) {
+        for (const auto& [task, run] : each.executor->runs())
+            ++present[{ task.job, task.occurrence, task.step, run.run }];
+    }
+    for (const auto& each : m_members) {
+        const auto runs = each.executor->runs();
+        for (const auto& [task, run] : runs) {
+            const auto* const step = m_ledger.findStep(task);
+            auto* const state = each.executor->findRun(task);
+            const bool complete = step == nullptr || !step->gang
+                || present[{ task.job, task.occurrence, task.step, run.run }] >= step->count;
+            if (complete && !state->workingSince)
+                state->workingSince = now;
+            else if (!complete && state->workingSince)
+                each.executor->endRun(task, "broken");
+            else if (!complete && now > state->placed + m_bounds.gangTime)
+                each.executor->endRun(task, "alone");
+        }
+    }
+}
+
+void executor_fleet::sendHeartbeat(std::size_t number)
+{
+    auto& sender = m_members[number];
+    const auto& address
+        = sender.heartbeatAddress.empty() ? m_site.anyControlAddress(m_random()) : sender.heartbeatAddress;
+    http_client_request call;
+    call.address = address;
+    call.timeout = heartbeatTimeout;
+    call.request = { "PUT", "/v1/instances/" + sender.executor->id(), { { "Content-Type", "application/json" } },
+        sender.executor->describe(m_site.executorAddress(number), m_site.failureDomainOf(number), m_site.rackOf(number))
+            .dump() };
+    m_client.send(std::move(call), [this, number](const http_result& result) {
+        const auto body = result.delivery == http_delivery::Complete && result.response.status == ok
+            ? nlohmann::json::parse(result.response.body, nullptr, false)
+            : nlohmann::json();
+        m_members[number].heartbeatAddress = body.is_object() ? body.value("heartbeat_url", std::string()) : "";
+    });
+}
+
+void executor_fleet::sendLeave(std::size_t number)
+{
+    http_client_request call;
+    call.address = m_site.anyControlAddress(m_random());
+    call.timeout = heartbeatTimeout;
+    call.request = { "DELETE", "/v1/instances/" + m_members[number].executor->id(), {}, {} };
+    m_client.send(std::move(call), [](const http_result&) {});
+}
+
+void executor_fleet::drain(std::size_t number)
+{
+    auto& leaving = *m_members[number].executor;
+    if (leaving.draining || leaving.faults.down > 0)
+        return;
+    leaving.draining = true;
+    leaving.leavesAt = std::chrono::steady_clock::now() + leaveTime;
+}
+
+void executor_fleet::leaveOrReturn(std::size_t number, std::chrono::steady_clock::time_point now)
+{
+    auto& each = m_members[number];
+    if (each.gone && now >= each.returnsAt) {
+        each.gone = false;
+        --each.executor->faults.down;
+        each.executor->beginLife(false);
+    }
+    if (each.executor->draining && !each.gone && now >= each.executor->leavesAt) {
+        sendLeave(number);
+        each.executor->draining = false;
+        each.executor->crash();
+        each.gone = true;
+        each.returnsAt = now + returnTime;
+        ++each.executor->faults.down;
+    }
+}
+
+} // namespace chervilport::soak
--- /dev/null
+++ b/tests/soak/fake_executor.cpp
@@ -0,0 +1,298 @@
+#include "tests/soak/fake_executor.h"
+
+#include "tests/soak/job_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilport::soak {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int ok = 200;
+    constexpr int badRequest = 400;
+    constexpr int conflict = 409;
+    constexpr int otherLife = 421;
+    /// Share of the orders that a fault of answers touches.
+    constexpr double faultyShare = 0.5;
+    constexpr auto earliestLateOrder = 2s;
+    constexpr auto latestLateOrder = 6s;
+    /// Time after which a run fails on an executor that fails everything.
+    constexpr auto failTime = 100ms;
+    constexpr std::size_t listedEnds = 500;
+
+    http_response json(int status, const nlohmann::json& body)
+    {
+        return { status, { { "Content-Type", "application/json" } }, body.dump() };
+    }
+
+} // namespace
+
+fake_executor::fake_executor(
+    asio::io_context& context, job_ledger& ledger, std::string baseId, std::uint64_t seed, executor_bounds bounds)
+    : m_context(context)
+    , m_ledger(ledger)
+    , m_baseId(std::move(baseId))
+    , m_random(seed)
+    , m_bounds(bounds)
+    , m_server(std::make_unique<executor_server>(context,
+          [this](const http_request& request, const executor_server::reply& reply) { receive(request, reply); }))
+{
+    beginLife(false);
+}
+
+fake_executor::~fake_executor() = default;
+
+void fake_executor::crash()
+{
+    for (const auto& [task, run] : m_runs)
+        m_ledger.noteEnd(task, "crashed");
+    m_runs.clear();
+    m_ends.clear();
+    m_waiting.clear();
+}
+
+void fake_executor::beginLife(bool sameId)
+{
+    crash();
+    if (!sameId || m_id.empty())
+        m_id = m_baseId + '-' + std::to_string(++m_life);
+    m_lifeStart = std::chrono::steady_clock::now();
+    m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                 .count();
+    m_sequence = 0;
+    m_fence = 0;
+    m_leaseUntilMs = 0;
+    m_lastEnd = 0;
+    m_settled.clear();
+    draining = false;
+}
+
+std::int64_t fake_executor::clockMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_lifeStart)
+        .count();
+}
+
+nlohmann::json fake_executor::describe(
+    const std::string& address, const std::string& failureDomain, const std::string& rack)
+{
+    nlohmann::json body { { "service", "planner" }, { "address", address }, { "zone", failureDomain },
+        { "version", "v1" }, { "slots", 8 }, { "state", draining ? "draining" : "ready" }, { "cold_left_ms", 0 },
+        { "labels", { "a", rack } }, { "machine", m_baseId }, { "clock_ms", clockMs() }, { "born", m_born },
+        { "seq", ++m_sequence } };
+    body["capacity"] = { { "cpu", milliCores }, { "mem_mb", memoryMb }, { "gpu", accelerators } };
+    if (draining) {
+        const auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(leavesAt - std::chrono::steady_clock::now());
+        body["drain_remaining_ms"] = std::max<std::int64_t>(0, left.count());
+    }
+    return body;
+}
+
+fake_executor::run_state* fake_executor::findRun(const task_name& task)
+{
+    const auto found = m_runs.find(task);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+// --- orders ---------------------------------------------------------------------------------------------------------
+
+void fake_executor::receive(const http_request& request, const executor_server::reply& reply)
+{
+    if (faults.down > 0)
+        return;
+    std::bernoulli_distribution isTouched(faultyShare);
+    if (faults.delaysOrders > 0 && request.target != "/v1/hold" && isTouched(m_random)) {
+        std::uniform_int_distribution<std::int64_t> wait(
+            std::chrono::milliseconds(earliestLateOrder).count(), std::chrono::milliseconds(latestLateOrder).count());
+        auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(wait(m_random)));
+        timer->async_wait([this, timer, request, born = m_born, reply](const std::error_code& error) {
+            if (!error && faults.down == 0 && born == m_born)
+                carryOut(request);
+        });
+        return;
+    }
+    if (findHeader(request.headers, "X-Chervilport-Expect-Instance") != m_id) {
+        reply.send(json(otherLife, { { "clock_ms", clockMs() } }));
+        return;
+    }
+    const auto order = nlohmann::json::parse(request.body, nullptr, false);
+    const auto wait = order.is_object() ? order.value("wait_ms", std::int64_t { 0 }) : 0;
+    auto answer = carryOut(request);
+    if (faults.losesAnswers > 0 && isTouched(m_random))
+        return;
+    if (request.target == "/v1/hold" && answer.status == ok && wait > 0 && m_ends.empty()) {
+        m_waiting.push_back({ reply, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait) });
+        return;
+    }
+    reply.send(std::move(answer));
+}
+
+http_response fake_executor::carryOut(const http_request& request)
+{
+    const auto order = nlohmann::json::parse(request.body, nullptr, false);
+    if (!order.is_object())
+        return json(badRequest, { { "clock_ms", clockMs() } });
+    if (!accept(order))
+        return json(conflict, { { "clock_ms", clockMs() }, { "reason", "fence" } });
+    if (request.target == "/v1/run-start")
+        return start(order);
+    if (request.target == "/v1/run-stop")
+        return stop(order);
+    extendLease(order.value("until_ms", std::int64_t { 0 }));
+    acknowledge(order.value("ack_cursor", std::uint64_t { 0 }));
+    return json(ok, lists());
+}
+
+bool fake_executor::accept(const nlohmann::json& order)
+{
+    const auto fence = order.value("fencing_token", std::uint64_t { 0 });
+    if (fence < m_fence)
+        return false;
+    m_fence = fence;
+    return true;
+}
+
+void fake_executor::extendLease(std::int64_t untilMs)
+{
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs() + m_bounds.longestLease.count()));
+}
+
+http_response fake_executor::start(const nlohmann::json& order)
+{
+    const auto task = parseTaskName(order.value("task", std::string()));
+    const auto run = order.value("run", std::uint32_t { 0 });
+    if (!task || run == 0)
+        return json(badRequest, { { "clock_ms", clockMs() } });
+    const auto until = order.value("until_ms", std::int64_t { 0 });
+    if (until <= clockMs())
+        return json(conflict, { { "clock_ms", clockMs() }, { "reason", "late" } });
+    extendLease(until);
+    const auto* const present = findRun(*task);
+    if (present != nullptr && present->run == run)
+        return json(ok, { { "clock_ms", clockMs() } });
+    const auto settled = m_settled.find(*task);
+    if ((settled != m_settled.end() && run <= settled->second) || (present != nullptr && run < present->run))
+        return json(conflict, { { "clock_ms", clockMs() }, { "reason", "old" } });
+    m_ledger.noteStart(*task, run, order.value("spec", std::string()), m_id);
+    m_runs[*task] = { run, std::chrono::steady_clock::now(), std::nullopt, std::nullopt };
+    checkRoom(*task);
+    return json(ok, { { "clock_ms", clockMs() } });
+}
+
+void fake_executor::checkRoom(const task_name& added)
+{
+    std::int64_t cores = 0;
+    std::int64_t memory = 0;
+    std::int64_t used = 0;
+    for (const auto& [task, run] : m_runs) {
+        const auto* const step = m_ledger.findStep(task);
+        if (step == nullptr)
+            continue;
+        cores += step->milliCores;
+        memory += step->memoryMb;
+        used += step->accelerators;
+    }
+    if (cores > milliCores || memory > memoryMb || used > accelerators)
+        m_ledger.report("an executor is given no more than it has room for", toText(added) + " on " + m_id);
+}
+
+http_response fake_executor::stop(const nlohmann::json& order)
+{
+    const auto task = parseTaskName(order.value("task", std::string()));
+    const auto run = order.value("run", std::uint32_t { 0 });
+    if (!task || run == 0)
+        return json(badRequest, { { "clock_ms", clockMs() } });
+    auto& settled = m_settled[*task];
+    settled = std::max(settled, run);
+    auto* const present = findRun(*task);
+    if (present != nullptr && present->run <= run && !present->stopAt) {
+        std::uniform_int_distribution<std::int64_t> takes(0, m_bounds.stopTime.count());
+        present->stopAt = std::chrono::steady_clock::now() + std::chrono::milliseconds(takes(m_random));
+    }
+    return json(ok, { { "clock_ms", clockMs() } });
+}
+
+nlohmann::json fake_executor::lists() const
+{
+    auto running = nlohmann::json::array();
+    for (const auto& [task, run] : m_runs)
+        running.push_back({ toText(task), run.run, "", 0, 0 });
+    auto finished = nlohmann::json::array();
+    for (const auto& end : m_ends) {
+        if (finished.size() < listedEnds)
+            finished.push_back({ end.number, toText(end.task), end.run, end.how, "" });
+    }
+    return { { "clock_ms", clockMs() }, { "born", m_born }, { "running", running }, { "finished", finished } };
+}
+
+void fake_executor::acknowledge(std::uint64_t cursor)
+{
+    for (const auto& end : m_ends) {
+        if (end.number <= cursor && end.how == "done" && !end.lapsedSince)
+            m_ledger.noteAcknowledgedEnd(end.task);
+    }
+    std::erase_if(m_ends, [&](const listed_end& end) { return end.number <= cursor; });
+}
+
+// --- time -----------------------------------------------------------------------------------------------------------
+
+void fake_executor::endRun(const task_name& task, const std::string& how)
+{
+    const auto found = m_runs.find(task);
+    if (found == m_runs.end())
+        return;
+    const auto run = found->second.run;
+    m_runs.erase(found);
+    auto& settled = m_settled[task];
+    settled = std::max(settled, run);
+    m_ends.push_back({ ++m_lastEnd, task, run, how });
+    m_ledger.noteEnd(task, how);
+}
+
+void fake_executor::lapse()
+{
+    for (auto& end : m_ends)
+        end.lapsedSince = true;
+    while (!m_runs.empty())
+        endRun(m_runs.begin()->first, "lapsed");
+}
+
+void fake_executor::tick(steady_time now)
+{
+    if (faults.down > 0)
+        return;
+    if (!m_runs.empty() && clockMs() > m_leaseUntilMs)
+        lapse();
+    const auto runs = m_runs;
+    for (const auto& [task, run] : runs) {
+        const auto* const step = m_ledger.findStep(task);
+        const auto work = step == nullptr ? 0ms : step->work;
+        if (run.stopAt && now >= *run.stopAt)
+            endRun(task, "stopped");
+        else if (faults.failsRuns > 0 && run.workingSince && now >= *run.workingSince + failTime)
+            endRun(task, "failed");
+        else if (run.workingSince && now >= *run.workingSince + work)
+            endRun(task, "done");
+    }
+    answerWaiting(!m_ends.empty());
+}
+
+void fake_executor::answerWaiting(bool all)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<waiting_look> due;
+    std::erase_if(m_waiting, [&](const waiting_look& look) {
+        if (!all && now < look.until)
+            return false;
+        due.push_back(look);
+        return true;
+    });
+    for (const auto& look : due)
+        look.reply.send(json(ok, lists()));
+}
+
+} // namespace chervilport::soak
--- /dev/null
+++ b/tests/soak/link_proxy.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "tests/soak/node_id.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace chervilport::soak {
+
+class link_table;
+class proxy_session;
+
+/// Forwards TCP connections to one party and applies the faults of the link table to them.
+class link_proxy {
+public:
+    /// Tells which party opened a connection, from the port that it comes from.
+    using source_function = std::function<node_id(std::uint16_t sourcePort, std::uint16_t proxyPort)>;
+
+    /// Listens at `listen` for connections to `target`, which is the party `owner`.
+    link_proxy(asio::io_context&, const link_table&, node_id owner, const asio::ip::tcp::endpoint& listen,
+        const asio::ip::tcp::endpoint& target, source_function);
+
+    /// Resets all connections between the owner and the other party.
+    void reset(node_id other);
+
+    /// Makes all connections that are open now silent for good; new ones work.
+    void silence(node_id other);
+
+    /// Returns the address to connect to.
+    asio::ip::tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void accept();
+    std::vector<std::shared_ptr<proxy_session>> openSessions(node_id other);
+
+    asio::io_context& m_context;
+    const link_table& m_links;
+    node_id m_owner;
+    asio::ip::tcp::endpoint m_target;
+    source_function m_source;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::weak_ptr<proxy_session>> m_sessions;
+};
+
+} // namespace chervilport::soak
--- /dev/null
+++ b/tests/soak/soak_operator.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilport {
+class http_client;
+struct http_result;
+}
+
+namespace chervilport::soak {
+
+class job_ledger;
+class soak_site;
+
+/// The operators: they change the configuration, sometimes two at once under one version, ask again after anything
+/// unclear, and read it back at any instance.
+class soak_operator {
+public:
+    static constexpr const char* host = "soak.example";
+    static constexpr const char* prefix = "/jobs/";
+    static constexpr const char* lastingKey = "key-that-stays";
+    /// Failed runs after which a job has failed; executors that fail all their runs must not use them up.
+    static constexpr int maxAttempts = 12;
+
+    soak_operator(asio::io_context&, soak_site&, job_ledger&, http_client&, std::uint64_t seed);
+
+    /// Sends the first configuration, and changes from then on.
+    void start();
+
+    /// Changes nothing more.
+    void stopChanging() { m_changes = false; }
+
+    /// Whether the first configuration was acknowledged.
+    bool isConfigured() const { return m_acknowledged > 0; }
+
+    /// Returns a key that has been taken away long enough to be refused everywhere, or nothing.
+    std::string revokedKey();
+
+    std::uint64_t acknowledged() const { return m_acknowledged; }
+    std::size_t reads() const { return m_reads; }
+
+private:
+    using steady_time = std::chrono::steady_clock::time_point;
+
+    void scheduleChange();
+    void scheduleRead();
+    std::string makeDocument(std::uint64_t version);
+    void change();
+    void put(std::uint64_t version, const std::string& document);
+    void handlePut(std::uint64_t version, const std::string& document, const http_result&);
+    void noteAcknowledged(std::uint64_t version);
+    void read();
+    void checkRead(std::uint64_t acknowledgedBefore, const http_result&);
+
+    asio::io_context& m_context;
+    soak_site& m_site;
+    job_ledger& m_ledger;
+    http_client& m_client;
+    std::mt19937_64 m_random;
+    asio::steady_timer m_changeTimer;
+    asio::steady_timer m_readTimer;
+    bool m_changes = true;
+    std::uint64_t m_next = 1;
+    std::uint64_t m_acknowledged = 0;
+    std::size_t m_reads = 0;
+    /// Documents that were sent, by version.
+    std::map<std::uint64_t, std::set<std::string>> m_sent;
+    /// Documents that were read, by version; one version has one content.
+    std::map<std::uint64_t, std::string> m_seen;
+    /// Keys of versions that a newer acknowledged one has replaced, with the time of that acknowledgement.
+    std::vector<std::pair<std::string, steady_time>> m_revoked;
+    /// Temporary keys of the versions from the last acknowledged one on.
+    std::map<std::uint64_t, std::vector<std::string>> m_keys;
+};
+
+} // namespace chervilport::soak
