--- a/chervilport/batch/preemption.cpp
+++ b/chervilport/batch/preemption.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/batch/preemption.h"
 
+#include "chervilport/batch/guarantee_cover.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -12,6 +14,9 @@
     constexpr double msPerSecond = 1000.0;
     /// Progress that a checkpointing task can lose, in seconds: the time between two checkpoints.
     constexpr double checkpointIntervalS = 1.0;
+    /// Weight of lost work of urgent jobs: one that begins again misses its objective, other work mostly still meets
+    /// it.
+    constexpr double urgentLossWeight = 10.0;
 
     double lostWork(const step_spec& spec, const task_record& task, std::int64_t nowMs)
     {
@@ -78,6 +83,7 @@
     for (const auto& [id, job] : state.jobs) {
         if (job.activeRuns == 0 || covered.contains(id))
             continue;
+        const double weight = job.priority == guaranteedPriority ? urgentLossWeight : 1.0;
         for (const auto& [number, occurrence] : job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job.request.steps[step];
@@ -87,8 +93,8 @@
                         continue;
                     const run_ref run { { id, number, step, i }, tasks[i].lastRun };
                     const bool ends = stopping.contains(run) || job.phase != job_phase::Active;
-                    victims.push_back({ run, tasks[i].worker, chargedDemand(spec), lostWork(spec, tasks[i], nowMs),
-                        spec.gang, ends });
+                    victims.push_back({ run, tasks[i].worker, chargedDemand(spec),
+                        weight * lostWork(spec, tasks[i], nowMs), spec.gang, ends });
                 }
             }
         }
--- a/chervilport/batch/preemption.h
+++ b/chervilport/batch/preemption.h
@@ -17,7 +17,7 @@
     worker_number worker = noWorker;
     /// Room that its end gives back.
     resource_demand room;
-    /// Work that would be lost, in core-seconds with an accelerator counted as eight cores.
+    /// Work that would be lost, in core-seconds with an accelerator counted as eight cores; more for urgent jobs.
     double lostWork = 0;
     /// Whether its end ends the other runs of its step too.
     bool gang = false;
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -1,3 +1,4 @@
+#include "chervilport/batch/preemption.h"
 #include "chervilport/batch/run_accounting.h"
 #include "tests/batch/fake_site.h"
 
@@ -161,6 +162,26 @@
     cr_assert_eq(site.activeRuns(kept).size(), 4);
 }
 
+// Pattern of the heaviest days: a guaranteed job takes the room of an urgent one beyond its guarantee, which has less
+// to lose as it has only begun, and the urgent one misses its objective.
+Test(schedulingPass, otherWorkIsStoppedBeforeUrgentWork)
+{
+    fake_site site;
+    site.addWorkers(2);
+    const auto other = site.submit(normalQueue, { stepOf(8, 1) });
+    site.pass();
+    site.advance(3'000);
+    const auto urgent = site.submit(urgentQueue, { stepOf(8, 1) });
+    site.pass();
+    site.advance(1'000);
+    double otherLoss = 0;
+    double urgentLoss = 0;
+    for (const auto& victim : listVictims(site.state(), {}, {}, 1'004'000))
+        (victim.run.task.job == other ? otherLoss : urgentLoss) += victim.lostWork;
+    cr_assert_gt(otherLoss, 0);
+    cr_assert_gt(urgentLoss, otherLoss);
+}
+
 // Guards against borrowers stopped for a job beyond its workspace's guarantee.
 Test(schedulingPass, jobBeyondTheGuaranteeStopsNobody)
 {
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -48,6 +48,8 @@
         std::optional<steady_time> restartAt;
         std::chrono::milliseconds downTime { 0 };
         int pauses = 0;
+        /// Its disk takes nothing; an instance that starts on such a disk ends.
+        bool diskFull = false;
     };
 
     void apply(const planned_fault&);
