--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -39,11 +39,9 @@
 
 struct batch_controller::timer {
     explicit timer(asio::io_context& context)
-        : tick(context)
-        , pass(context)
+        : pass(context)
     {
     }
-    asio::steady_timer tick;
     asio::steady_timer pass;
 };
 
@@ -54,6 +52,7 @@
     , m_port(std::move(port))
     , m_link(std::move(link))
     , m_metrics(std::move(metrics))
+    , m_tick(context, tickInterval)
     , m_timer(std::make_unique<timer>(context))
     , m_queue(std::make_shared<command_queue>(context, m_link.propose))
 {
@@ -61,13 +60,16 @@
 
 batch_controller::~batch_controller() = default;
 
-void batch_controller::start() { scheduleTick(); }
+void batch_controller::start()
+{
+    m_tick.start([this] { tick(); });
+}
 
 void batch_controller::stop()
 {
     m_stopped = true;
     resign();
-    m_timer->tick.cancel();
+    m_tick.stop();
     m_timer->pass.cancel();
 }
 
@@ -240,18 +242,6 @@
     return host;
 }
 
-void batch_controller::scheduleTick()
-{
-    m_timer->tick.expires_after(tickInterval);
-    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
-        const auto self = weak.lock();
-        if (error || !self || self->m_stopped)
-            return;
-        self->tick();
-        self->scheduleTick();
-    });
-}
-
 void batch_controller::tick()
 {
     if (!m_leading)
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -10,6 +10,7 @@
 #include "chervilport/control/worker_port.h"
 #include "chervilport/control/worker_session.h"
 #include "chervilport/control/worker_soundness.h"
+#include "chervilport/core/repeating_timer.h"
 
 #include <functional>
 #include <map>
@@ -80,7 +81,6 @@
 
     void lead(std::uint64_t term);
     void resign();
-    void scheduleTick();
     void tick();
     void updateSessions();
     void stopEndedJobs();
@@ -101,6 +101,7 @@
     worker_port m_port;
     group_link m_link;
     std::shared_ptr<metric_registry> m_metrics;
+    repeating_timer m_tick;
     std::unique_ptr<timer> m_timer;
     batch::batch_state m_state;
     std::shared_ptr<command_queue> m_queue;
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -79,11 +79,9 @@
 
 struct control_node::timer {
     explicit timer(asio::io_context& context)
-        : tick(context)
-        , transfer(context)
+        : transfer(context)
     {
     }
-    asio::steady_timer tick;
     asio::steady_timer transfer;
 };
 
@@ -92,6 +90,7 @@
     : m_context(context)
     , m_settings(values)
     , m_serve(std::move(serve))
+    , m_tick(context, tickInterval)
     , m_timer(std::make_unique<timer>(context))
     , m_storage(std::make_unique<instance_storage>(values.dataFolder))
 {
@@ -170,7 +169,7 @@
     updatePeers();
     m_jobs->start();
     m_relay->start();
-    scheduleTick();
+    m_tick.start([this] { tick(); });
 }
 
 void control_node::setSeeds(const std::vector<peer_address>& seeds)
@@ -207,7 +206,7 @@
 void control_node::stop()
 {
     m_stopped = true;
-    m_timer->tick.cancel();
+    m_tick.stop();
     m_relay->stop();
     m_jobs->stop();
     m_group->stop();
@@ -342,18 +341,6 @@
     m_network->setPeers(std::move(peers));
 }
 
-void control_node::scheduleTick()
-{
-    m_timer->tick.expires_after(tickInterval);
-    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
-        const auto self = weak.lock();
-        if (error || !self || self->m_stopped)
-            return;
-        self->tick();
-        self->scheduleTick();
-    });
-}
-
 void control_node::tick()
 {
     const auto now = monotonicNow();
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -4,6 +4,7 @@
 #include "chervilport/control/leader_relay.h"
 #include "chervilport/control/node_settings.h"
 #include "chervilport/control/worker_port.h"
+#include "chervilport/core/repeating_timer.h"
 #include "chervilport/instance/control_call.h"
 #include "chervilport/instance/replica_group.h"
 
@@ -73,7 +74,6 @@
     cluster_status describe() const;
     void noteStatus(const replica_status&);
     void updatePeers();
-    void scheduleTick();
     void tick();
     void joinIfNeeded(log_time now);
     void removeLost(log_time now);
@@ -81,6 +81,7 @@
     asio::io_context& m_context;
     node_settings m_settings;
     serve_function m_serve;
+    repeating_timer m_tick;
     std::unique_ptr<timer> m_timer;
     std::unique_ptr<instance_storage> m_storage;
     std::shared_ptr<peer_network> m_network;
--- a/chervilport/control/leader_relay.cpp
+++ b/chervilport/control/leader_relay.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <utility>
 
 namespace chervilport {
@@ -33,14 +32,6 @@
 
 } // namespace
 
-struct leader_relay::timer {
-    explicit timer(asio::io_context& context)
-        : tick(context)
-    {
-    }
-    asio::steady_timer tick;
-};
-
 struct leader_relay::pending_call {
     http_request request;
     std::string name;
@@ -56,19 +47,22 @@
     : m_context(context)
     , m_network(network)
     , m_self(self)
-    , m_timer(std::make_unique<timer>(context))
+    , m_tick(context, tickInterval)
     , m_leaderHeard(monotonicNow() - leaderExpiry)
 {
 }
 
 leader_relay::~leader_relay() = default;
 
-void leader_relay::start() { scheduleTick(); }
+void leader_relay::start()
+{
+    m_tick.start([this] { tick(); });
+}
 
 void leader_relay::stop()
 {
     m_stopped = true;
-    m_timer->tick.cancel();
+    m_tick.stop();
     for (const auto& call : std::exchange(m_waiting, {}))
         finish(call, { std::nullopt, call->maybeRun });
 }
@@ -87,18 +81,6 @@
 
 bool leader_relay::hasLeader(log_time now) const { return m_leader && silence(now) < leaderExpiry; }
 
-void leader_relay::scheduleTick()
-{
-    m_timer->tick.expires_after(tickInterval);
-    m_timer->tick.async_wait([weak = weak_from_this()](const std::error_code& error) {
-        const auto self = weak.lock();
-        if (error || !self || self->m_stopped)
-            return;
-        self->tick();
-        self->scheduleTick();
-    });
-}
-
 void leader_relay::tick()
 {
     const auto now = monotonicNow();
--- a/chervilport/control/leader_relay.h
+++ b/chervilport/control/leader_relay.h
@@ -3,6 +3,7 @@
 #include "chervilport/consensus/member_id.h"
 #include "chervilport/control/cluster_calls.h"
 #include "chervilport/core/log_time.h"
+#include "chervilport/core/repeating_timer.h"
 #include "chervilport/http/http_message.h"
 #include "chervilport/instance/forward_outcome.h"
 
@@ -69,10 +70,8 @@
     std::function<void(const std::vector<member_id>&)> membersChanged;
 
 private:
-    struct timer;
     struct pending_call;
 
-    void scheduleTick();
     void tick();
     void probe(member_id);
     void probeAll(log_time now);
@@ -87,7 +86,7 @@
     asio::io_context& m_context;
     peer_network& m_network;
     member_id m_self;
-    std::unique_ptr<timer> m_timer;
+    repeating_timer m_tick;
     std::vector<member_id> m_seeds;
     std::vector<member_id> m_members;
     std::optional<member_id> m_leader;
--- /dev/null
+++ b/chervilport/core/repeating_timer.cpp
@@ -0,0 +1,56 @@
+#include "chervilport/core/repeating_timer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace chervilport {
+
+/// What a pending call holds on to, so that it can tell that its timer was stopped or destroyed.
+struct repeating_timer::schedule : std::enable_shared_from_this<schedule> {
+    schedule(asio::io_context& context, std::chrono::milliseconds given)
+        : timer(context)
+        , interval(given)
+    {
+    }
+
+    void wait()
+    {
+        timer.expires_after(interval);
+        timer.async_wait([self = shared_from_this()](const std::error_code& error) {
+            if (error || !self->call)
+                return;
+            // A copy, as the call may replace or drop the function.
+            const auto current = self->call;
+            current();
+            if (self->call)
+                self->wait();
+        });
+    }
+
+    asio::steady_timer timer;
+    std::chrono::milliseconds interval;
+    /// Empty while the timer does not run.
+    std::function<void()> call;
+};
+
+repeating_timer::repeating_timer(asio::io_context& context, std::chrono::milliseconds interval)
+    : m_schedule(std::make_shared<schedule>(context, interval))
+{
+}
+
+repeating_timer::~repeating_timer() { stop(); }
+
+void repeating_timer::start(std::function<void()> call)
+{
+    m_schedule->call = std::move(call);
+    m_schedule->wait();
+}
+
+void repeating_timer::stop()
+{
+    m_schedule->call = nullptr;
+    m_schedule->timer.cancel();
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/tests/core/repeating_timer_test.cpp
@@ -0,0 +1,49 @@
+#include "chervilport/core/repeating_timer.h"
+
+#include <asio/io_context.hpp>
+#include <criterion/criterion.h>
+#include <optional>
+
+using namespace chervilport;
+using namespace std::chrono_literals;
+
+// Guards against a timer that ends after its first call.
+Test(repeatingTimer, callsUntilItIsStopped)
+{
+    asio::io_context context;
+    repeating_timer timer(context, 1ms);
+    int calls = 0;
+    timer.start([&] {
+        if (++calls == 3)
+            timer.stop();
+    });
+    context.run();
+    cr_assert_eq(calls, 3);
+}
+
+// Guards against a call on an owner that is gone.
+Test(repeatingTimer, callMayDestroyItsTimer)
+{
+    asio::io_context context;
+    std::optional<repeating_timer> timer;
+    timer.emplace(context, 1ms);
+    int calls = 0;
+    timer->start([&] {
+        ++calls;
+        timer.reset();
+    });
+    context.run();
+    cr_assert_eq(calls, 1);
+}
+
+// Guards against a call that was due when the timer was stopped.
+Test(repeatingTimer, stoppedTimerCallsNoMore)
+{
+    asio::io_context context;
+    repeating_timer timer(context, 0ms);
+    int calls = 0;
+    timer.start([&] { ++calls; });
+    timer.stop();
+    context.run();
+    cr_assert_eq(calls, 0);
+}
--- a/tests/soak/executor_fleet.cpp
+++ b/tests/soak/executor_fleet.cpp
@@ -33,7 +33,7 @@
     : m_site(site)
     , m_ledger(ledger)
     , m_client(client)
-    , m_timer(context)
+    , m_tick(context, tickInterval)
     , m_random(seed)
 {
     for (std::size_t i = 0; i < count; ++i) {
@@ -45,17 +45,9 @@
     }
 }
 
-void executor_fleet::start() { scheduleTick(); }
-
-void executor_fleet::scheduleTick()
+void executor_fleet::start()
 {
-    m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](const std::error_code& error) {
-        if (error)
-            return;
-        tick();
-        scheduleTick();
-    });
+    m_tick.start([this] { tick(); });
 }
 
 void executor_fleet::tick()
--- a/tests/soak/executor_fleet.h
+++ b/tests/soak/executor_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chervilport/core/repeating_timer.h"
 #include "tests/soak/fake_executor.h"
 #include "tests/soak/link_proxy.h"
 
@@ -53,7 +54,6 @@
         bool gone = false;
     };
 
-    void scheduleTick();
     void tick();
     void moveGangs(std::chrono::steady_clock::time_point now);
     void sendHeartbeat(std::size_t number);
@@ -64,7 +64,7 @@
     job_ledger& m_ledger;
     http_client& m_client;
     executor_bounds m_bounds;
-    asio::steady_timer m_timer;
+    repeating_timer m_tick;
     std::mt19937_64 m_random;
     std::vector<member> m_members;
 };
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -37,7 +37,7 @@
     , m_site(site)
     , m_fleet(fleet)
     , m_ledger(ledger)
-    , m_timer(context)
+    , m_tick(context, tickInterval)
 {
     for (std::size_t i = 0; i < site.size(); ++i) {
         m_processes[core(i)];
@@ -50,7 +50,7 @@
     m_coreCalmSince = std::chrono::steady_clock::now();
     for (const auto& fault : plan)
         later(fault.at, [this, fault] { apply(fault); });
-    scheduleTick();
+    m_tick.start([this] { tick(); });
 }
 
 void fault_injector::later(std::chrono::milliseconds pause, action act)
@@ -78,17 +78,6 @@
 
 // --- processes ------------------------------------------------------------------------------------------------------
 
-void fault_injector::scheduleTick()
-{
-    m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](const std::error_code& error) {
-        if (error)
-            return;
-        tick();
-        scheduleTick();
-    });
-}
-
 void fault_injector::tick()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "chervilport/core/repeating_timer.h"
 #include "tests/soak/fault_plan.h"
 #include "tests/soak/node_id.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -66,7 +66,6 @@
     void cutExecutor(std::size_t number, std::chrono::milliseconds);
     void count(int& fault, std::chrono::milliseconds);
     void later(std::chrono::milliseconds, action);
-    void scheduleTick();
     void tick();
     void noteCoreFault(std::chrono::milliseconds);
 
@@ -74,7 +73,7 @@
     soak_site& m_site;
     executor_fleet& m_fleet;
     job_ledger& m_ledger;
-    asio::steady_timer m_timer;
+    repeating_timer m_tick;
     std::map<node_id, process_state> m_processes;
     std::size_t m_pending = 0;
     std::size_t m_count = 0;
--- a/tests/soak/soak_operator.cpp
+++ b/tests/soak/soak_operator.cpp
@@ -34,38 +34,16 @@
     , m_ledger(ledger)
     , m_client(client)
     , m_random(seed)
-    , m_changeTimer(context)
-    , m_readTimer(context)
+    , m_changeTimer(context, changeInterval)
+    , m_readTimer(context, readInterval)
 {
 }
 
 void soak_operator::start()
 {
     change();
-    scheduleChange();
-    scheduleRead();
-}
-
-void soak_operator::scheduleChange()
-{
-    m_changeTimer.expires_after(changeInterval);
-    m_changeTimer.async_wait([this](const std::error_code& error) {
-        if (error || !m_changes)
-            return;
-        change();
-        scheduleChange();
-    });
-}
-
-void soak_operator::scheduleRead()
-{
-    m_readTimer.expires_after(readInterval);
-    m_readTimer.async_wait([this](const std::error_code& error) {
-        if (error)
-            return;
-        read();
-        scheduleRead();
-    });
+    m_changeTimer.start([this] { change(); });
+    m_readTimer.start([this] { read(); });
 }
 
 std::string soak_operator::makeDocument(std::uint64_t version)
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "chervilport/core/repeating_timer.h"
+
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -36,7 +37,7 @@
     void start();
 
     /// Changes nothing more.
-    void stopChanging() { m_changes = false; }
+    void stopChanging() { m_changeTimer.stop(); }
 
     /// Whether the first configuration was acknowledged.
     bool isConfigured() const { return m_acknowledged > 0; }
@@ -50,8 +51,6 @@
 private:
     using steady_time = std::chrono::steady_clock::time_point;
 
-    void scheduleChange();
-    void scheduleRead();
     std::string makeDocument(std::uint64_t version);
     void change();
     void put(std::uint64_t version, const std::string& document);
@@ -65,9 +64,8 @@
     job_ledger& m_ledger;
     http_client& m_client;
     std::mt19937_64 m_random;
-    asio::steady_timer m_changeTimer;
-    asio::steady_timer m_readTimer;
-    bool m_changes = true;
+    repeating_timer m_changeTimer;
+    repeating_timer m_readTimer;
     std::uint64_t m_next = 1;
     std::uint64_t m_acknowledged = 0;
     std::size_t m_reads = 0;
