--- a/apps/chervilport/subcommand.cpp
+++ b/apps/chervilport/subcommand.cpp
@@ -1,6 +1,7 @@
 #include "apps/chervilport/subcommand.h"
 
 #include "apps/chervilport/config_commands.h"
+#include "apps/chervilport/explain_commands.h"
 #include "apps/chervilport/job_commands.h"
 #include "apps/chervilport/status_commands.h"
 #include "apps/chervilport/upstream_commands.h"
@@ -33,6 +34,12 @@
       --wait                  wait for the end of the job
 )";
 
+    constexpr std::string_view explainDetails = R"(
+Reads the logs of any number of instances, or standard input, and calls none. Prints what names the job, what happened
+to its workers and to the leader meanwhile, how it ended and why, and what the logs do not tell. --json prints the same
+as JSON.
+)";
+
     constexpr std::string_view showConfigDetails = R"(Options:
       --trial                 the document in trial instead of the one in production
 )";
@@ -63,6 +70,7 @@
         { "job", "show", "[--wait] ID", "Show a job, or wait for its end.", "", showJob },
         { "job", "list", "[--workspace NAME] [--failure-domain NAME]", "List the newest jobs.", "", listJobs },
         { "job", "cancel", "ID", "Cancel a job.", "", cancelJob },
+        { "job", "explain", "ID [FILE...]", "Tell from logs what became of a job.", explainDetails, explainJob },
         { "config", "show", "[--trial]", "Print a configuration document.", showConfigDetails, showConfig },
         { "config", "put", "--expected-version N [options] FILE", "Put a document into trial.", putConfigDetails,
             putConfig },
--- /dev/null
+++ b/chervilport/explain/job_story.cpp
@@ -0,0 +1,121 @@
+#include "chervilport/explain/job_story.h"
+
+#include "chervilport/explain/job_facts.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace chervilport::explain {
+
+namespace {
+
+    /// Events about workers that explain the end of runs there.
+    constexpr std::array<std::string_view, 5> workerEvents { "worker_unreachable", "worker_left", "worker_life_ended",
+        "worker_quarantined", "worker_reached" };
+    /// Events that change who decides.
+    constexpr std::array<std::string_view, 2> leaderEvents { "leadership_taken", "leadership_lost" };
+
+    bool isOneOf(std::span<const std::string_view> events, std::string_view event)
+    {
+        return std::find(events.begin(), events.end(), event) != events.end();
+    }
+
+    bool namesJob(const log_line& line, std::string_view job)
+    {
+        return std::any_of(line.fields.begin(), line.fields.end(),
+            [&](const log_line::field& each) { return each.value.find(job) != std::string::npos; });
+    }
+
+    std::set<std::string_view> workersOf(std::span<const log_line* const> lines)
+    {
+        std::set<std::string_view> workers;
+        for (const auto* const line : lines) {
+            if (line->event == "run_assigned")
+                workers.insert(valueOf(*line, "worker"));
+        }
+        return workers;
+    }
+
+    /// Lines of the job, and those between its first and last line that tell of its workers and of the leader.
+    std::vector<const log_line*> select(std::span<const log_line> lines, std::string_view job)
+    {
+        std::vector<const log_line*> chosen;
+        for (const auto& line : lines) {
+            if (namesJob(line, job))
+                chosen.push_back(&line);
+        }
+        const auto byTime = [](const log_line* left, const log_line* right) { return left->time < right->time; };
+        std::stable_sort(chosen.begin(), chosen.end(), byTime);
+        if (chosen.empty())
+            return chosen;
+        const auto& from = chosen.front()->time;
+        const auto& to = chosen.back()->time;
+        const auto workers = workersOf(chosen);
+        for (const auto& line : lines) {
+            const bool meanwhile = line.time >= from && line.time <= to && !namesJob(line, job);
+            const bool ofWorker = isOneOf(workerEvents, line.event) && workers.contains(valueOf(line, "worker"));
+            if (meanwhile && (ofWorker || isOneOf(leaderEvents, line.event)))
+                chosen.push_back(&line);
+        }
+        std::stable_sort(chosen.begin(), chosen.end(), byTime);
+        return chosen;
+    }
+
+    std::string describeFields(const log_line& line)
+    {
+        std::string text;
+        for (const auto& each : line.fields) {
+            if (!text.empty())
+                text += ' ';
+            text += each.key + '=' + each.value;
+        }
+        return text;
+    }
+
+    /// Keeps of the entry's detail the fields that the line has too.
+    void keepCommon(story_entry& entry, const log_line& line)
+    {
+        std::string kept;
+        for (const auto& each : line.fields) {
+            const auto word = each.key + '=' + each.value;
+            if ((' ' + entry.detail + ' ').find(' ' + word + ' ') == std::string::npos)
+                continue;
+            if (!kept.empty())
+                kept += ' ';
+            kept += word;
+        }
+        entry.detail = std::move(kept);
+    }
+
+    /// Lines that follow each other with the same event on the same instance become one entry.
+    std::vector<story_entry> condense(std::span<const log_line* const> lines, std::string_view job)
+    {
+        std::vector<story_entry> entries;
+        for (const auto* const line : lines) {
+            if (!entries.empty() && entries.back().event == line->event && entries.back().instance == line->instance) {
+                keepCommon(entries.back(), *line);
+                ++entries.back().lines;
+                continue;
+            }
+            entries.push_back(
+                { line->time, line->instance, line->event, describeFields(*line), 1, namesJob(*line, job) });
+        }
+        return entries;
+    }
+
+} // namespace
+
+job_story tellStory(std::span<const log_line> lines, std::string_view job)
+{
+    const auto chosen = select(lines, job);
+    job_story story;
+    story.job = job;
+    story.entries = condense(chosen, job);
+    const auto facts = gatherFacts(chosen, job);
+    story.conclusion = conclude(facts);
+    story.missing = findGaps(facts);
+    return story;
+}
+
+} // namespace chervilport::explain
--- /dev/null
+++ b/tests/explain/job_story_test.cpp
@@ -0,0 +1,151 @@
+#include "chervilport/explain/job_story.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace chervilport::explain;
+
+namespace {
+
+constexpr const char* job = "ea59a8795f5cb20e";
+
+/// Reads lines as instances write them; each has the name of its instance in front.
+std::vector<log_line> linesOf(std::initializer_list<const char*> texts)
+{
+    std::vector<log_line> lines;
+    for (const auto* const text : texts) {
+        const auto line = parseLogLine(text, "file");
+        cr_assert(line.has_value(), "%s", text);
+        lines.push_back(*line);
+    }
+    return lines;
+}
+
+bool isMissing(const job_story& story, std::string_view what)
+{
+    return std::any_of(story.missing.begin(), story.missing.end(),
+        [&](const std::string& each) { return each.find(what) != std::string::npos; });
+}
+
+void assertConclusion(const job_story& story, const char* expected)
+{
+    cr_assert(story.conclusion == expected, "told: %s", story.conclusion.c_str());
+}
+
+} // namespace
+
+// Guards against quoted values that are cut at a space, and against lines whose instance is lost.
+Test(logLine, fieldsAndOriginAreRead)
+{
+    const auto line = parseLogLine(
+        "core-1 2026-12-04T09:00:00.123 WARNING event=relay_gave_up request=\"POST /a/1\" reason=\"a \\\"b\\\"\"", "x");
+    cr_assert(line.has_value());
+    cr_assert(line->instance == "core-1");
+    cr_assert(line->time == "2026-12-04T09:00:00.123");
+    cr_assert(line->event == "relay_gave_up");
+    cr_assert(valueOf(*line, "request") == "POST /a/1");
+    cr_assert(valueOf(*line, "reason") == "a \"b\"");
+    cr_assert(valueOf(*line, "other").empty());
+    cr_assert(parseLogLine("2026-12-04T09:00:00.123 INFO event=stop", "x")->instance == "x");
+}
+
+// Guards against other output that is taken for lines of the log.
+Test(logLine, otherTextIsSkipped)
+{
+    for (const auto* const text : { "", "INFO control: started", "event=stop", "event=", "12 event=stop x=1" })
+        cr_assert(!parseLogLine(text, "x").has_value(), "%s", text);
+}
+
+// A submission without a majority: only its entry instance has lines.
+Test(jobStory, refusalWithoutALeaderIsTold)
+{
+    const auto story = tellStory(
+        linesOf({ "edge-1 2026-12-04T09:00:00.100 WARNING event=relay_gave_up request=\"POST /q/ea59a8795f5cb20e\" "
+                  "attempts=0 maybe_run=false leader=0" }),
+        job);
+    assertConclusion(story, "not run: its entry instance knew no leader");
+    cr_assert(story.missing.empty());
+}
+
+// Guards against "not run" for a call that a leader may have taken up.
+Test(jobStory, unclearSubmissionIsTold)
+{
+    const auto story = tellStory(
+        linesOf({ "edge-1 2026-12-04T09:00:00.100 WARNING event=relay_gave_up request=\"POST /q/ea59a8795f5cb20e\" "
+                  "attempts=1 maybe_run=true leader=0" }),
+        job);
+    assertConclusion(story, "outcome unknown to its caller: passed on, and no answer came from a leader");
+}
+
+// A job that lost its room and then its worker; the lines come from two leaders and out of order.
+Test(jobStory, delaysAreToldInOrder)
+{
+    const auto story = tellStory(
+        linesOf({ "core-2 2026-12-04T09:00:05.000 WARNING event=worker_unreachable worker=i-2 reply=no_answer runs=1",
+            "core-2 2026-12-04T09:00:12.000 INFO event=run_ended run=ea59a8795f5cb20e.0.0.0#2 worker=i-2 how=lapsed "
+            "saved=\"\"",
+            "core-2 2026-12-04T09:00:12.100 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#3 worker=i-3",
+            "core-2 2026-12-04T09:00:15.000 INFO event=run_ended run=ea59a8795f5cb20e.0.0.0#3 worker=i-3 how=done "
+            "saved=\"\"",
+            "core-2 2026-12-04T09:00:15.010 INFO event=job_ended job=ea59a8795f5cb20e queue=q phase=completed "
+            "age_ms=14900",
+            "core-1 2026-12-04T09:00:00.100 INFO event=job_submitted job=ea59a8795f5cb20e queue=q workspace=w steps=1 "
+            "tasks=1 accelerators=1 config_version=7",
+            "core-1 2026-12-04T09:00:00.110 INFO event=job_accepted job=ea59a8795f5cb20e outcome=committed",
+            "core-1 2026-12-04T09:00:00.120 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#1 worker=i-1",
+            "core-1 2026-12-04T09:00:01.000 INFO event=run_preempted run=ea59a8795f5cb20e.0.0.0#1 worker=i-1 "
+            "for=1111111111111111",
+            "core-1 2026-12-04T09:00:01.500 INFO event=run_ended run=ea59a8795f5cb20e.0.0.0#1 worker=i-1 how=stopped "
+            "saved=\"\"",
+            "core-1 2026-12-04T09:00:01.600 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#2 worker=i-2",
+            "core-1 2026-12-04T09:00:06.000 WARNING event=worker_unreachable worker=i-9 reply=no_answer runs=1",
+            "core-2 2026-12-04T09:00:04.000 INFO event=leadership_taken term=2 workers=3 jobs=1 config_version=7" }),
+        job);
+    assertConclusion(
+        story, "completed after 14900 ms; 1 runs were stopped for 1111111111111111; runs were lost with i-2");
+    cr_assert(story.missing.empty());
+    cr_assert(story.entries.front().event == "job_submitted");
+    cr_assert(story.entries.back().event == "job_ended");
+    // The change of the leader and the worker's silence belong to it, another worker's does not.
+    std::vector<std::string> others;
+    for (const auto& entry : story.entries) {
+        if (!entry.ofJob)
+            others.push_back(entry.event);
+    }
+    cr_assert(others == (std::vector<std::string> { "leadership_taken", "worker_unreachable" }));
+}
+
+// A job that failed by its own fault, on two sound workers.
+Test(jobStory, failedRunsNameTheirWorkers)
+{
+    const auto story = tellStory(
+        linesOf({ "core-1 2026-12-04T09:00:00.110 INFO event=job_accepted job=ea59a8795f5cb20e outcome=committed",
+            "core-1 2026-12-04T09:00:00.120 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#1 worker=i-1",
+            "core-1 2026-12-04T09:00:01.000 INFO event=run_ended run=ea59a8795f5cb20e.0.0.0#1 worker=i-1 how=failed "
+            "saved=\"\"",
+            "core-1 2026-12-04T09:00:01.100 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#2 worker=i-2 "
+            "suppressed=3",
+            "core-1 2026-12-04T09:00:02.000 INFO event=run_ended run=ea59a8795f5cb20e.0.0.0#2 worker=i-2 how=failed "
+            "saved=\"\"",
+            "core-1 2026-12-04T09:00:02.010 INFO event=job_ended job=ea59a8795f5cb20e queue=q phase=failed "
+            "age_ms=1900" }),
+        job);
+    assertConclusion(story, "failed after 1900 ms; runs failed on i-1, i-2");
+    cr_assert(isMissing(story, "the submission"));
+    cr_assert(isMissing(story, "3 lines"));
+}
+
+// Guards against a wide job whose story is a page of equal lines.
+Test(jobStory, equalLinesAreOneEntry)
+{
+    const auto story = tellStory(
+        linesOf({ "core-1 2026-12-04T09:00:00.120 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.0#1 worker=i-1",
+            "core-1 2026-12-04T09:00:00.120 INFO event=run_assigned run=ea59a8795f5cb20e.0.0.1#1 worker=i-1" }),
+        job);
+    cr_assert_eq(story.entries.size(), 1);
+    cr_assert_eq(story.entries.front().lines, 2);
+    cr_assert(story.entries.front().detail == "worker=i-1");
+}
+
+// Guards against a story made up for an id that no line has.
+Test(jobStory, unknownJobIsSaidToBeUnknown) { assertConclusion(tellStory({}, job), "no line names the job"); }
