Wait for the rack of the data as long as it saves time

Cause: tasks left the rack where they are fast after 3 s, whatever their length, took three times as long, and held room that others could have used; urgent gangs of 2.5 s waited too long for it. Change: they wait half of the time that the rack saves: (slowdown - 1) x expected run time; guaranteed ones what is left of the time to reclaim a guarantee. Slowdown and reclaim time come from the site's settings (far_x, reclaim_ms).

--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -18,15 +18,15 @@
     constexpr std::int64_t reservationMs = 2'500;
     /// In an idle pool, tasks wait this long before they take workers that are kept for urgent jobs, in milliseconds.
     constexpr std::int64_t keptWaitMs = 6'000;
-    /// Tasks wait this long for the rack where they are fast, in milliseconds.
-    constexpr std::int64_t nearWaitMs = 3'000;
-    /// Guaranteed tasks wait as long for it, in milliseconds: within the time to reclaim a guarantee, it leaves what
-    /// the stop of other runs takes.
-    constexpr std::int64_t coveredNearWaitMs = 1'000;
+    /// Part of the time that a place in that rack saves for which tasks wait for one.
+    constexpr double nearWaitShare = 0.5;
+    /// Time for the orders, commits and passes around a stop, in milliseconds.
+    constexpr std::int64_t orderMarginMs = 1'400;
 
     struct pass {
         const batch_state& state;
         scheduling_memory& memory;
+        placement_bounds bounds;
         std::int64_t nowMs;
         std::set<std::string> covered;
         worker_slots slots;
@@ -98,6 +98,17 @@
         return ranked;
     }
 
+    /// Returns how long a step waits for the rack where it is fast, in milliseconds.
+    double nearWait(const pass& current, const ready_step& ready, bool covered)
+    {
+        // A guarantee has to be met within a bound, of which the stop of other runs takes its part.
+        const auto& bounds = current.bounds;
+        if (covered)
+            return static_cast<double>(std::max<std::int64_t>(0, bounds.reclaimMs - bounds.stopMs - orderMarginMs));
+        return nearWaitShare * (bounds.farSlowdown - 1)
+            * expectedRunMs(current.memory.estimates, *ready.job, specOf(ready));
+    }
+
     std::uint32_t nextRun(const ready_step& ready, std::uint32_t index)
     {
         if (ready.progress == nullptr)
@@ -162,10 +173,10 @@
 } // namespace
 
 scheduling_result planPass(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
-    scheduling_memory& memory, std::int64_t nowMs)
+    scheduling_memory& memory, const placement_bounds& bounds, std::int64_t nowMs)
 {
     forgetExpired(state, memory, nowMs);
-    pass current { state, memory, nowMs, coveredJobs(state, memory.estimates, nowMs),
+    pass current { state, memory, bounds, nowMs, coveredJobs(state, memory.estimates, nowMs),
         makeSlots(state, conditions, memory), {} };
     keepForUrgent(current.slots, notePeak(memory.urgentDemand, urgentDemand(state, current.slots), nowMs));
     std::vector<preemption_victim> victims;
@@ -176,7 +187,7 @@
         const auto& service = serviceOf(state, *each.job);
         if (!covered && isKnownUnplaceable(unplaceable, each, service))
             continue;
-        const bool allowFar = nowMs - each.readySinceMs > (covered ? coveredNearWaitMs : nearWaitMs);
+        const bool allowFar = static_cast<double>(nowMs - each.readySinceMs) > nearWait(current, each, covered);
         const auto placed = placeStep(current.slots, each, service, allowFar);
         for (const auto& task : placed)
             assign(current, each, task);
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -56,8 +56,18 @@
     std::vector<preempted_run> preempted;
 };
 
+/// What a site says of the places of tasks.
+struct placement_bounds {
+    /// Tasks take this many times as long away from the rack where they are fast.
+    double farSlowdown = 3.0;
+    /// Time within which guaranteed jobs have begun, in milliseconds.
+    std::int64_t reclaimMs = 3'400;
+    /// Longest time that a worker takes to stop a run, in milliseconds.
+    std::int64_t stopMs = 900;
+};
+
 /// Decides which tasks start where. Changes nothing but the memory; `nowMs` are Unix milliseconds.
-scheduling_result planPass(
-    const batch_state&, const std::map<worker_number, worker_condition>&, scheduling_memory&, std::int64_t nowMs);
+scheduling_result planPass(const batch_state&, const std::map<worker_number, worker_condition>&, scheduling_memory&,
+    const placement_bounds&, std::int64_t nowMs);
 
 } // namespace chervilport::batch
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -35,6 +35,11 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
     }
 
+    batch::placement_bounds placementBounds(const worker_bounds& bounds)
+    {
+        return { bounds.farSlowdown, bounds.reclaimTime.count(), bounds.stopTime.count() };
+    }
+
 } // namespace
 
 struct batch_controller::timer {
@@ -358,7 +363,7 @@
 {
     if (!m_leading || m_passOpen > 0 || !m_link.mayAct())
         return;
-    auto decided = batch::planPass(m_state, conditions(), m_memory, wallMs());
+    auto decided = batch::planPass(m_state, conditions(), m_memory, placementBounds(m_bounds), wallMs());
     for (const auto& [run, beneficiary] : decided.preempted) {
         const auto* const task = batch::findTask(m_state, run.task);
         const auto session = task == nullptr ? m_sessions.end() : m_sessions.find(task->worker);
--- a/chervilport/control/node_settings.h
+++ b/chervilport/control/node_settings.h
@@ -18,6 +18,10 @@
     std::chrono::milliseconds stopTime { 1'000 };
     /// Time for which the members of a gang wait for each other.
     std::chrono::milliseconds gangTime { 3'000 };
+    /// Time within which guaranteed jobs have begun.
+    std::chrono::milliseconds reclaimTime { 3'400 };
+    /// Tasks take this many times as long away from the rack where they are fast.
+    double farSlowdown = 3.0;
 };
 
 /// What an instance of a site is told at its start. It learns of all others through the seeds.
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -166,6 +166,12 @@
     cr_assert(core.callerListen.empty());
     cr_assert_eq(core.node.stopGrace.count(), 6'000);
     cr_assert_eq(core.node.workers.longestLease.count(), 10'000);
+    cr_assert_eq(core.node.workers.reclaimTime.count(), 2'900);
+    cr_assert_float_eq(core.node.workers.farSlowdown, 2.5, 0.001);
+    cr_assert(core.node.bindIp == "10.1.0.22");
+    auto forwarded = golden("core.toml");
+    forwarded.insert(0, "bind_ip = \"10.9.0.1\"\n");
+    cr_assert(parseBootSettings(forwarded).node.bindIp == "10.9.0.1");
     cr_assert_throw(parseBootSettings("node_name = "), chervilport_error);
     cr_assert_throw(parseBootSettings("node_name = 'x'"), chervilport_error);
 }
