Give back workers kept for a guaranteed job once it has its places

Change: keeping ends when the job has all its places or is no longer active. Test: workersKeptForAJobAreFreeOnceItHasItsPlaces fails without the change.

--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -60,7 +60,10 @@
             const auto* const task = findTask(state, run.task);
             return task == nullptr || task->worker == noWorker || task->lastRun != run.run;
         });
-        std::erase_if(memory.reservations, [&](const auto& entry) { return entry.second.expiresMs <= nowMs; });
+        std::erase_if(memory.reservations, [&](const auto& entry) {
+            const auto* const job = findJob(state, entry.second.job);
+            return entry.second.expiresMs <= nowMs || job == nullptr || job->phase != job_phase::Active;
+        });
     }
 
     const std::string& serviceOf(const batch_state& state, const job_record& job)
@@ -130,6 +133,16 @@
         current.result.assigned.push_back({ { task, nextRun(ready, placed.index) }, worker });
     }
 
+    /// Gives workers back that were kept for a job that has its places now.
+    void releaseReservations(pass& current, const std::string& job)
+    {
+        std::erase_if(current.memory.reservations, [&](const auto& entry) { return entry.second.job == job; });
+        for (auto& slot : current.slots) {
+            if (slot.reservedFor == job)
+                slot.reservedFor.clear();
+        }
+    }
+
     void preemptFor(pass& current, std::vector<preemption_victim>& victims, const ready_step& ready,
         const std::string& service, bool allowFar)
     {
@@ -191,8 +204,11 @@
         const auto placed = placeStep(current.slots, each, service, allowFar);
         for (const auto& task : placed)
             assign(current, each, task);
-        if (placed.size() == each.tasks.size())
+        if (placed.size() == each.tasks.size()) {
+            if (covered)
+                releaseReservations(current, each.job->request.id);
             continue;
+        }
         if (!covered) {
             if (!anyFits(current, each, service))
                 unplaceable.push_back({ chargedDemand(specOf(each)), service, specOf(each).requiredLabel });
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -245,6 +245,32 @@
     cr_assert_eq(site.activeRuns(bound).size(), 1);
 }
 
+// Pattern of the heaviest days: workers stay kept for a guaranteed job that has begun elsewhere meanwhile, and other
+// jobs of the burst wait beside idle workers.
+Test(schedulingPass, workersKeptForAJobAreFreeOnceItHasItsPlaces)
+{
+    fake_site site(8);
+    site.addWorkers(2);
+    const auto other = site.submit(normalQueue, { stepOf(16, 1) });
+    site.pass();
+    site.advance(1'000);
+    const auto covered = site.submit(urgentQueue, { stepOf(1, 8) });
+    cr_assert_eq(site.pass().preempted.size(), 8);
+    const auto kept = site.memory.reservations.begin()->first;
+    // The other worker has room first.
+    for (const auto& run : site.activeRuns(other)) {
+        if (run.worker != kept)
+            site.end(run.run, run_end_kind::Done);
+    }
+    site.pass();
+    cr_assert_eq(site.activeRuns(covered).size(), 1);
+    site.endAll(other, run_end_kind::Stopped);
+    site.endAll(other, run_end_kind::Done);
+    const auto next = site.submit(urgentQueue, { stepOf(1, 8) });
+    site.pass();
+    cr_assert_eq(site.activeRuns(next).size(), 1);
+}
+
 // Guards against borrowers stopped for a job beyond its workspace's guarantee.
 Test(schedulingPass, jobBeyondTheGuaranteeStopsNobody)
 {
