--- a/chervilport/entry/relayed_answer.cpp
+++ b/chervilport/entry/relayed_answer.cpp
@@ -23,9 +23,11 @@
 
 } // namespace
 
-http_response answerOf(const relay_outcome& outcome, bool changesSomething)
+bool changesSomething(const http_request& request) { return request.method != "GET"; }
+
+http_response answerOf(const relay_outcome& outcome, bool isChange)
 {
-    const bool mayHaveRun = outcome.maybeRun && changesSomething;
+    const bool mayHaveRun = outcome.maybeRun && isChange;
     if (outcome.response && (!mayHaveRun || holdsForEveryAttempt(outcome.response->status)))
         return *outcome.response;
     if (mayHaveRun)
