Keep workers for waiting gangs free of small tasks

Change: gang_hold keeps, in each pass, the emptiest workers (of one rack for close tasks) for gangs that found no room, in the order of their turns, up to 30 % of the workers that are not kept for urgent jobs. Test: waitingGangGetsWorkersThatSmallTasksWouldFillAgain fails without the change.

--- /dev/null
+++ b/chervilport/batch/gang_hold.cpp
@@ -0,0 +1,86 @@
+#include "chervilport/batch/gang_hold.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace chervilport::batch {
+
+namespace {
+
+    /// Part of the workers that can be kept free for waiting gangs at a time.
+    constexpr double heldShare = 0.3;
+
+    /// Workers of one rack, or of all, that would hold the gang once they are empty.
+    struct hold_choice {
+        std::vector<std::size_t> slots;
+        std::int64_t freeAccelerators = 0;
+    };
+
+    /// Tasks that fit on a worker with nothing else on it.
+    std::int64_t tasksOn(const worker_slot& slot, const resource_demand& demand)
+    {
+        const auto& whole = slot.worker->report.capacity;
+        const auto fit = [](std::int64_t room, std::int64_t need) { return need <= 0 ? INT64_MAX : room / need; };
+        return std::min({ fit(whole.milliCores, demand.milliCores), fit(whole.memoryMb, demand.memoryMb),
+            fit(whole.accelerators, demand.accelerators) });
+    }
+
+    /// The emptiest workers that together hold all tasks; none when there are too few.
+    hold_choice chooseEmptiest(const worker_slots& slots, std::vector<std::size_t> candidates, const ready_step& ready)
+    {
+        const auto demand = chargedDemand(specOf(ready));
+        std::stable_sort(candidates.begin(), candidates.end(), [&](std::size_t left, std::size_t right) {
+            return slots[left].free.accelerators > slots[right].free.accelerators;
+        });
+        hold_choice choice;
+        auto left = static_cast<std::int64_t>(ready.tasks.size());
+        for (const auto each : candidates) {
+            if (left <= 0)
+                break;
+            const auto tasks = tasksOn(slots[each], demand);
+            if (tasks <= 0)
+                continue;
+            left -= std::min(left, tasks);
+            choice.slots.push_back(each);
+            choice.freeAccelerators += slots[each].free.accelerators;
+        }
+        return left > 0 ? hold_choice {} : choice;
+    }
+
+} // namespace
+
+hold_budget makeHoldBudget(const worker_slots& slots)
+{
+    const auto open = std::count_if(
+        slots.begin(), slots.end(), [](const worker_slot& slot) { return slot.usable && !slot.keptForUrgent; });
+    return { static_cast<std::size_t>(static_cast<double>(open) * heldShare) };
+}
+
+void holdForGang(worker_slots& slots, const ready_step& ready, const std::string& service, hold_budget& budget)
+{
+    const auto& spec = specOf(ready);
+    std::map<std::string, std::vector<std::size_t>> byRack;
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        const auto& slot = slots[i];
+        if (!slot.usable || !slot.reservedFor.empty() || !isEligible(slot, ready, service))
+            continue;
+        const auto& rack = slot.worker->report.rack;
+        if (!spec.dataRack.empty() && rack != spec.dataRack)
+            continue;
+        byRack[spec.rackLocal ? rack : std::string()].push_back(i);
+    }
+    hold_choice best;
+    for (auto& [rack, candidates] : byRack) {
+        auto choice = chooseEmptiest(slots, std::move(candidates), ready);
+        if (!choice.slots.empty() && (best.slots.empty() || choice.freeAccelerators > best.freeAccelerators))
+            best = std::move(choice);
+    }
+    if (best.slots.empty() || best.slots.size() > budget.workers)
+        return;
+    budget.workers -= best.slots.size();
+    for (const auto each : best.slots)
+        slots[each].reservedFor = ready.job->request.id;
+}
+
+} // namespace chervilport::batch
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -1,5 +1,6 @@
 #include "chervilport/batch/scheduling_pass.h"
 
+#include "chervilport/batch/gang_hold.h"
 #include "chervilport/batch/guarantee_cover.h"
 #include "chervilport/batch/job_urgency.h"
 #include "chervilport/batch/preemption.h"
@@ -195,11 +196,16 @@
     std::vector<preemption_victim> victims;
     bool victimsListed = false;
     std::vector<unplaceable_size> unplaceable;
+    auto holds = makeHoldBudget(current.slots);
 
     for (auto& [each, covered, outlook] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
-        if (!covered && isKnownUnplaceable(unplaceable, each, service))
+        const bool mayHold = !covered && specOf(each).gang && outlook != job_outlook::Overdue;
+        if (!covered && isKnownUnplaceable(unplaceable, each, service)) {
+            if (mayHold)
+                holdForGang(current.slots, each, service, holds);
             continue;
+        }
         const bool allowFar = static_cast<double>(nowMs - each.readySinceMs) > nearWait(current, each, covered);
         const auto placed = placeStep(current.slots, each, service, allowFar);
         for (const auto& task : placed)
@@ -210,6 +216,8 @@
             continue;
         }
         if (!covered) {
+            if (mayHold)
+                holdForGang(current.slots, each, service, holds);
             if (!anyFits(current, each, service))
                 unplaceable.push_back({ chargedDemand(specOf(each)), service, specOf(each).requiredLabel });
             continue;
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -271,6 +271,27 @@
     cr_assert_eq(site.activeRuns(next).size(), 1);
 }
 
+// Pattern of the heaviest days: a gang that needs whole workers waits for ever, as small tasks of lower priority take
+// each accelerator that becomes free.
+Test(schedulingPass, waitingGangGetsWorkersThatSmallTasksWouldFillAgain)
+{
+    fake_site site;
+    site.addWorkers(8);
+    std::vector<std::string> small;
+    for (int i = 0; i < 16; ++i)
+        small.push_back(site.submit(backgroundQueue, { stepOf(4, 1) }));
+    site.pass();
+    const auto gang = site.submit(normalQueue, { gangStep(2, 8) });
+    // Half of a worker becomes free at a time, and small tasks are always waiting.
+    for (const auto& id : small) {
+        site.submit(backgroundQueue, { stepOf(4, 1) });
+        site.advance(200);
+        site.endAll(id, run_end_kind::Done);
+        site.pass();
+    }
+    cr_assert_eq(site.activeRuns(gang).size(), 2);
+}
+
 // Guards against borrowers stopped for a job beyond its workspace's guarantee.
 Test(schedulingPass, jobBeyondTheGuaranteeStopsNobody)
 {
