Settle the runs of a worker that restarts under its id with the worker itself

Traced with 'job explain' and the logs: an executor restarted under its id within 0.3 s; an order sent before its report came started run 1 in the new life; the report then ended all runs of the earlier life in the agreed state, run 1 among them, and run 2 was started elsewhere while run 1 went on as a stray. Change: a restart under the same id keeps the worker's number and runs. The session notes the later life from its lists or reports, keeps runs that the new life has, stops all others there, and ends them when a look after the stop shows that they are not there. The count of acknowledged ends begins anew, also when only the clock shows the restart.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -198,11 +198,12 @@
         state.workers.erase(command.worker);
     }
 
-    /// A life is over when another one has begun later under the same id or at the same address.
+    /// A worker is gone when another one has begun later at its address. One that has restarted under its id stays, and
+    /// so do its runs: an order sent before its report came can have started a run in the new life, so each run is
+    /// settled with the worker itself.
     bool endsLife(const worker_report& earlier, const worker_report& later)
     {
-        const bool sameLife = earlier.id == later.id && earlier.born == later.born;
-        return !sameLife && (earlier.id == later.id || earlier.address == later.address) && earlier.born <= later.born;
+        return earlier.id != later.id && earlier.address == later.address && earlier.born <= later.born;
     }
 
     void apply(batch_state& state, const worker_seen& command)
--- a/chervilport/batch/worker_record.h
+++ b/chervilport/batch/worker_record.h
@@ -6,13 +6,13 @@
 
 namespace chervilport::batch {
 
-/// Number of one life of a worker; never used again. 0 is no worker.
+/// Number of a worker under one id; never used again. A worker that restarts under its id keeps it. 0 is no worker.
 enum class worker_number : std::uint32_t {};
 
 /// No worker.
 inline constexpr worker_number noWorker { 0 };
 
-/// One life of a worker.
+/// A worker under one id.
 struct worker_record {
     /// Its number.
     worker_number number = noWorker;
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/batch/job_admission.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
 #include "chervilport/metrics/metric_registry.h"
@@ -27,8 +28,6 @@
     /// Added to the leases that an earlier leader may have granted.
     constexpr std::chrono::milliseconds earlierLeaseSlack { 500 };
     constexpr double msPerSecond = 1'000.0;
-    /// A worker's clock can be slow by two percent: fifty parts of lease last at most 51.
-    constexpr int clockParts = 50;
 
     std::int64_t wallMs()
     {
@@ -187,7 +186,7 @@
     m_soundness.clear();
     m_passOpen = 0;
     m_passRequested = false;
-    m_leaseEnd = monotonicNow() + m_bounds.longestLease + m_bounds.longestLease / clockParts + earlierLeaseSlack;
+    m_leaseEnd = monotonicNow() + leaseTime(m_bounds.longestLease) + earlierLeaseSlack;
     logEvent("leadership_taken",
         { { "term", term }, { "workers", m_state.workers.size() }, { "jobs", m_state.jobs.size() },
             { "config_version", m_state.config.version } });
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -27,6 +27,9 @@
     constexpr std::chrono::milliseconds unhealthyPause { 2'000 };
     /// Time after which a run that a worker should have and does not list is taken as gone.
     constexpr std::chrono::milliseconds missingTime { 50 };
+    /// A clock that has gone back by more, in milliseconds, is that of another life; answers that overtake each other
+    /// are less apart.
+    constexpr std::int64_t clockStepBackMs = 2'000;
 
     std::string workerName(const batch::worker_record* worker)
     {
@@ -68,6 +71,8 @@
     , m_now(monotonicNow())
 {
     m_clock.leaseEnd = leaseEnd;
+    if (const auto* const known = record())
+        m_born = known->report.born;
 }
 
 worker_session::~worker_session() = default;
@@ -107,12 +112,18 @@
 {
     auto& tracker = m_runs[run];
     tracker.run = run;
-    if (m_looked)
+    if (m_looked && !hasRestarted())
         sendStart(tracker);
     if (!m_lookInFlight)
         look();
 }
 
+bool worker_session::hasRestarted() const
+{
+    const auto* const worker = record();
+    return worker != nullptr && worker->report.born > m_born;
+}
+
 void worker_session::stopRun(const batch::run_ref& run)
 {
     const auto found = m_runs.find(run);
@@ -143,7 +154,8 @@
             sendStop(tracker);
     }
     const bool mustAcknowledge = m_listed > m_acknowledged && m_proposalsOpen == 0;
-    const bool wanted = !m_looked || !m_runs.empty() || mustAcknowledge || m_lookAgain || m_failedLooks > 0;
+    const bool wanted
+        = !m_looked || hasRestarted() || !m_runs.empty() || mustAcknowledge || m_lookAgain || m_failedLooks > 0;
     if (wanted && !m_lookInFlight && now >= m_nextLook)
         look();
 }
@@ -174,6 +186,11 @@
 void worker_session::noteResult(const worker_result& result)
 {
     m_now = monotonicNow();
+    // The ends of another life are counted anew, so that the count of the earlier one must not acknowledge them.
+    if (result.clockMs && m_clock.readingMs && *result.clockMs + clockStepBackMs < *m_clock.readingMs) {
+        m_acknowledged = 0;
+        m_listed = 0;
+    }
     if (result.clockMs)
         noteReading(m_clock, *result.clockMs, m_now);
 }
@@ -188,10 +205,13 @@
     const auto* const worker = record();
     if (worker == nullptr)
         return;
-    if (answer.born != 0 && worker->report.born != 0 && answer.born != worker->report.born) {
-        if (answer.born > worker->report.born)
-            endLife("restarted");
+    // Some workers do not say in their lists which life they are in.
+    const auto born = answer.born != 0 ? answer.born : worker->report.born;
+    if (born < m_born)
         return;
+    if (born > m_born) {
+        beginLife(born);
+        settleEarlierLife(answer);
     }
     const bool wasUsable = isUsable();
     if (!m_looked || m_failedLooks > 0)
@@ -215,6 +235,38 @@
         look();
 }
 
+void worker_session::beginLife(std::int64_t born)
+{
+    logEvent("worker_restarted",
+        { { "worker", workerName(record()) }, { "born", born }, { "before", m_born }, { "runs", m_runs.size() } },
+        log_level::Warning);
+    m_born = born;
+    m_acknowledged = 0;
+    m_listed = 0;
+    // Orders that the new life has taken named a time of the earlier clock; the worker shortens such a lease.
+    m_clock = {};
+    m_clock.leaseEnd = m_now + leaseTime(m_host.bounds.longestLease);
+}
+
+void worker_session::settleEarlierLife(const worker_look& answer)
+{
+    if (answer.result.clockMs)
+        noteReading(m_clock, *answer.result.clockMs, m_now);
+    std::set<batch::run_ref> here;
+    for (const auto& row : answer.running)
+        here.insert(row.run);
+    for (const auto& row : answer.ended)
+        here.insert(row.run);
+    for (auto& [run, tracker] : m_runs) {
+        if (tracker.endProposed || here.contains(run))
+            continue;
+        // It ended with the earlier life, but an order that is on its way can still start it in this one.
+        tracker.stopWanted = true;
+        tracker.stopConfirmed = false;
+        sendStop(tracker);
+    }
+}
+
 void worker_session::handleFailedLook(const worker_result& result)
 {
     if (result.reply == worker_reply::OtherLife) {
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -49,6 +49,9 @@
     void handleLook(const worker_look&, log_time sentAt);
     void handleFailedLook(const worker_result&);
     void noteResult(const worker_result&);
+    bool hasRestarted() const;
+    void beginLife(std::int64_t born);
+    void settleEarlierLife(const worker_look&);
     void settleEnds(const worker_look&);
     void settleRunning(const worker_look&);
     void settleMissing(const worker_look&, log_time sentAt);
@@ -67,6 +70,8 @@
     session_host m_host;
     batch::worker_number m_worker;
     worker_clock m_clock;
+    /// Start of the life that looks and orders go to, Unix milliseconds.
+    std::int64_t m_born = 0;
     std::map<batch::run_ref, run_tracker> m_runs;
     log_time m_now;
     log_time m_nextLook;
