--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -277,8 +277,10 @@
 {
     fake_site site;
     site.addWorkers(8);
+    constexpr std::size_t halfWorkers = 16;
     std::vector<std::string> small;
-    for (int i = 0; i < 16; ++i)
+    small.reserve(halfWorkers);
+    for (std::size_t i = 0; i < halfWorkers; ++i)
         small.push_back(site.submit(backgroundQueue, { stepOf(4, 1) }));
     site.pass();
     const auto gang = site.submit(normalQueue, { gangStep(2, 8) });
--- a/tests/session/child_process.cpp
+++ b/tests/session/child_process.cpp
@@ -15,6 +15,7 @@
     std::vector<char*> pointersTo(const std::vector<std::string>& words)
     {
         std::vector<char*> pointers;
+        pointers.reserve(words.size() + 1);
         for (const auto& word : words)
             pointers.push_back(const_cast<char*>(word.c_str()));
         pointers.push_back(nullptr);
--- a/tests/soak/node_id.h
+++ b/tests/soak/node_id.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <tuple>
 
 namespace chervilport::soak {
 
@@ -13,7 +14,11 @@
     /// Number within its kind, from 0; 0 for the callers.
     std::size_t number = 0;
 
-    friend auto operator<=>(const node_id&, const node_id&) = default;
+    friend bool operator==(const node_id&, const node_id&) = default;
+    friend bool operator<(const node_id& left, const node_id& right)
+    {
+        return std::tie(left.what, left.number) < std::tie(right.what, right.number);
+    }
 };
 
 } // namespace chervilport::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -104,7 +104,7 @@
     runUntil(context, lastLookTime, [] { return false; });
     ledger.checkSettled();
     logSummary(callers, configuration, injector.count());
-    const auto violations = ledger.violations();
+    auto violations = ledger.violations();
     if (violations.empty() && options.folder.empty())
         std::filesystem::remove_all(folder);
     return violations;
--- a/tests/soak/task_name.h
+++ b/tests/soak/task_name.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace chervilport::soak {
 
@@ -15,7 +15,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const task_name&, const task_name&) = default;
+    friend bool operator==(const task_name&, const task_name&) = default;
+    friend bool operator<(const task_name& left, const task_name& right)
+    {
+        return std::tie(left.job, left.occurrence, left.step, left.index)
+            < std::tie(right.job, right.occurrence, right.step, right.index);
+    }
 };
 
 /// Reads a name, or nothing when the text is none.
