--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -19,7 +19,7 @@
     constexpr std::int64_t reservationMs = 2'500;
     /// In an idle pool, tasks wait this long before they take workers that are kept for urgent jobs, in milliseconds.
     constexpr std::int64_t keptWaitMs = 6'000;
-    /// Part of the time that a place in that rack saves for which tasks wait for one.
+    /// Tasks wait for a place in the rack where they are fast for this part of the time that it saves them.
     constexpr double nearWaitShare = 0.5;
     /// Time for the orders, commits and passes around a stop, in milliseconds.
     constexpr std::int64_t orderMarginMs = 1'400;
--- a/chervilport/explain/job_story.cpp
+++ b/chervilport/explain/job_story.cpp
@@ -73,7 +73,7 @@
         return text;
     }
 
-    /// Keeps of the entry's detail the fields that the line has too.
+    /// Drops from the entry's detail the fields that the line does not have with the same value.
     void keepCommon(story_entry& entry, const log_line& line)
     {
         std::string kept;
