Do not take orders of an earlier leader or life for proof that a run has not begun

Cause: (1) a new leader's session counted runs of its predecessor as never sent, so two orders that could not be sent ended the run as not started, while the predecessor's order, without an answer, may be carried out up to 12 s later. (2) A stop that was on its way when the worker restarted under its id, and that the earlier life confirmed, settled the run in the new one. (3) A run assigned after a restart was stopped unsent, and the look that finds the restart waited up to 2 s and named a lease on the earlier clock. Change: runs that a leader finds at its start count as maybe sent; a stop counts only in the life that it was sent to; runs never sent are started; that look neither waits nor grants. run_stop_sent logs the first and the last order to stop. Functions without callers are removed; wallMs stands once.

--- a/chervilport/batch/ready_step.cpp
+++ b/chervilport/batch/ready_step.cpp
@@ -79,17 +79,4 @@
     return ready;
 }
 
-std::int64_t nextDueMs(const batch_state& state, std::int64_t nowMs)
-{
-    std::int64_t earliest = -1;
-    for (const auto& [id, job] : state.jobs) {
-        if (job.phase != job_phase::Active || job.nextOccurrence >= occurrencesOf(job.request))
-            continue;
-        const auto due = dueMs(job, job.nextOccurrence);
-        if (due > nowMs && (earliest < 0 || due < earliest))
-            earliest = due;
-    }
-    return earliest;
-}
-
 } // namespace chervilport::batch
--- a/chervilport/batch/ready_step.h
+++ b/chervilport/batch/ready_step.h
@@ -35,7 +35,4 @@
 /// Returns all steps that have tasks to start at the given time, Unix milliseconds.
 std::vector<ready_step> listReadySteps(const batch_state&, std::int64_t nowMs);
 
-/// Returns the earliest due time after the given time, or nothing (a negative number) when there is none.
-std::int64_t nextDueMs(const batch_state&, std::int64_t nowMs);
-
 } // namespace chervilport::batch
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -29,11 +29,6 @@
     constexpr std::chrono::milliseconds earlierLeaseSlack { 500 };
     constexpr double msPerSecond = 1'000.0;
 
-    std::int64_t wallMs()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
-    }
-
     batch::placement_bounds placementBounds(const worker_bounds& bounds)
     {
         return { bounds.farSlowdown, bounds.reclaimTime.count(), bounds.stopTime.count() };
--- a/chervilport/control/command_queue.cpp
+++ b/chervilport/control/command_queue.cpp
@@ -14,11 +14,6 @@
     /// Time for which commands are collected before they are written.
     constexpr std::chrono::milliseconds collectTime { 3 };
 
-    std::int64_t wallMs()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
-    }
-
 } // namespace
 
 struct command_queue::timer {
@@ -43,8 +38,6 @@
     schedule();
 }
 
-std::size_t command_queue::open() const { return m_waiting.size() + m_inFlight; }
-
 void command_queue::schedule()
 {
     if (m_scheduled || m_inFlight > 0 || m_waiting.empty())
--- a/chervilport/control/command_queue.h
+++ b/chervilport/control/command_queue.h
@@ -30,9 +30,6 @@
     /// Adds a command.
     void add(batch::batch_command, callback);
 
-    /// Returns the number of commands whose fate is open.
-    std::size_t open() const;
-
 private:
     struct entry {
         batch::batch_command command;
--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -34,6 +34,8 @@
     log_time confirmedAt;
     /// Whether the run has to stop.
     bool stopWanted = false;
+    /// Orders to stop that were answered or given up so far.
+    int stopAttempts = 0;
     /// Whether an order to stop is on its way.
     bool stopInFlight = false;
     /// Whether the worker confirmed an order to stop, and when.
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -98,6 +98,8 @@
                         continue;
                     run_tracker tracker { { { id, number, step, i }, tasks[i].lastRun } };
                     tracker.stopWanted = job.phase != batch::job_phase::Active;
+                    // An earlier leader's order can still be on its way.
+                    tracker.maybeSent = true;
                     m_runs.emplace(tracker.run, std::move(tracker));
                 }
             }
@@ -139,8 +141,6 @@
     return found != m_runs.end() && found->second.phase == start_phase::Confirmed;
 }
 
-void worker_session::forgetRun(const batch::run_ref& run) { m_runs.erase(run); }
-
 void worker_session::tick(log_time now)
 {
     m_now = now;
@@ -169,10 +169,12 @@
     order.fence = m_host.term;
     m_acknowledged = std::max(m_acknowledged, m_listed);
     order.acknowledgedEnd = m_acknowledged;
-    // A look that may not be answered must not prolong the lease, or a lost worker's runs would never lapse.
-    if (m_clock.readingMs && !m_runs.empty() && m_failedLooks == 0)
+    // A look that may not be answered must not prolong the lease, or a lost worker's runs would never lapse. One that
+    // meets another life would name a time of the wrong clock.
+    const bool expectsAnswer = m_failedLooks == 0 && !hasRestarted() && !m_runs.empty();
+    if (m_clock.readingMs && expectsAnswer)
         order.leaseUntilMs = grantLease(m_clock, leaseLength, now);
-    if (m_looked && m_failedLooks == 0 && !m_runs.empty() && !m_lookAgain)
+    if (m_looked && expectsAnswer && !m_lookAgain)
         order.wait = lookWait;
     m_lookInFlight = true;
     m_lookAgain = false;
@@ -258,11 +260,13 @@
     for (const auto& row : answer.ended)
         here.insert(row.run);
     for (auto& [run, tracker] : m_runs) {
-        if (tracker.endProposed || here.contains(run))
+        const bool neverSent = tracker.phase == start_phase::Unsent && !tracker.maybeSent;
+        if (tracker.endProposed || neverSent || here.contains(run))
             continue;
         // It ended with the earlier life, but an order that is on its way can still start it in this one.
         tracker.stopWanted = true;
         tracker.stopConfirmed = false;
+        tracker.stopInFlight = false;
         sendStop(tracker);
     }
 }
@@ -433,7 +437,7 @@
         return;
     tracker.stopInFlight = true;
     const stop_order order { tracker.run, m_host.term };
-    m_host.port->stop(target(), order, [self = shared_from_this(), run = tracker.run](const worker_result& result) {
+    const auto handle = [self = shared_from_this(), run = tracker.run, born = m_born](const worker_result& result) {
         if (self->m_closed || self->m_lifeEnded)
             return;
         self->noteResult(result);
@@ -442,15 +446,23 @@
             return;
         }
         const auto found = self->m_runs.find(run);
-        if (found == self->m_runs.end())
+        // What an earlier life confirmed keeps no run from starting in this one.
+        if (found == self->m_runs.end() || born != self->m_born)
             return;
+        const auto attempt = ++found->second.stopAttempts;
+        // A stop is repeated until it is confirmed; the first and the last attempt tell all.
+        if (attempt == 1 || result.reply == worker_reply::Done)
+            logEvent("run_stop_sent",
+                { { "run", describe(run) }, { "worker", workerName(self->record()) }, { "reply", nameOf(result.reply) },
+                    { "attempt", attempt }, { "detail", result.detail } });
         found->second.stopInFlight = false;
         if (result.reply != worker_reply::Done)
             return;
         found->second.stopConfirmed = true;
         found->second.stopConfirmedAt = self->m_now;
         self->m_lookAgain = true;
-    });
+    };
+    m_host.port->stop(target(), order, handle);
 }
 
 void worker_session::stopStray(const batch::run_ref& run)
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -30,9 +30,6 @@
     /// Stops a run.
     void stopRun(const batch::run_ref&);
 
-    /// Forgets a run whose end was committed.
-    void forgetRun(const batch::run_ref&);
-
     /// Returns whether the worker has confirmed the start of a run in this term.
     bool hasStarted(const batch::run_ref&) const;
 
@@ -65,7 +62,6 @@
     void proposeEnd(run_tracker&, batch::run_end_kind);
     void afterProposal();
     void endLife(const char* reason);
-    bool isClosed() const { return m_closed; }
 
     session_host m_host;
     batch::worker_number m_worker;
--- a/chervilport/instance/monotonic_now.cpp
+++ b/chervilport/instance/monotonic_now.cpp
@@ -12,4 +12,9 @@
     return log_time(std::chrono::duration_cast<log_duration>(std::chrono::system_clock::now().time_since_epoch()));
 }
 
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
+}
+
 } // namespace chervilport
--- a/tests/control/fake_worker.cpp
+++ b/tests/control/fake_worker.cpp
@@ -40,7 +40,11 @@
     calls.stop = [this](const worker_target&, const stop_order& order, const std::function<void(worker_result)>& done) {
         stops.push_back(order);
         const auto reply = take(stopReplies);
-        asio::post(context, [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); });
+        const auto answer = [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); };
+        if (holdStops)
+            heldStop = answer;
+        else
+            asio::post(context, answer);
     };
     calls.look = [this](const worker_target&, const look_order& order, const std::function<void(worker_look)>& done) {
         looks.push_back(order);
--- a/tests/control/fake_worker.h
+++ b/tests/control/fake_worker.h
@@ -32,6 +32,9 @@
     /// Whether looks that wait are held back until released.
     bool holdLooks = true;
     std::function<void()> heldLook;
+    /// Whether orders to stop are held back until released.
+    bool holdStops = false;
+    std::function<void()> heldStop;
     /// Orders received.
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -167,10 +167,13 @@
 Test(workerSession, unsentStartGoesElsewhereAtOnce)
 {
     session_bench bench;
-    bench.assign(1);
     bench.worker.startReplies = { worker_reply::NotSent, worker_reply::NotSent };
     const auto session = bench.makeSession();
     session->open();
+    bench.settle();
+    // The run is this leader's own: an earlier one's order could have left.
+    bench.assign(1);
+    session->startRun(firstRun);
     for (int i = 0; i < 3; ++i) {
         bench.settle();
         session->tick(monotonicNow());
@@ -316,3 +319,69 @@
     bench.settle();
     cr_assert_eq(bench.worker.looks.back().acknowledgedEnd, 0);
 }
+
+// Guards against two runs of one task at a time: an earlier leader's order had no answer and can still be carried out,
+// so that orders of the new leader that never left it do not prove that the run has not begun.
+Test(workerSession, unsentOrdersOfANewLeaderProveNothing)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.startReplies = { worker_reply::NotSent, worker_reply::NotSent, worker_reply::NotSent };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    for (int i = 0; i < 3; ++i) {
+        session->tick(monotonicNow());
+        bench.settle();
+    }
+    cr_assert(bench.ends().empty());
+    cr_assert_gt(bench.worker.starts.size(), 2);
+}
+
+// Guards against a stop that an earlier life of the worker confirmed, which keeps no run from starting in the new one.
+Test(workerSession, stopThatAnEarlierLifeConfirmedSettlesNothing)
+{
+    session_bench bench;
+    bench.assign(1);
+    bench.worker.born = 10;
+    bench.worker.running = { { firstRun, "", 0 } };
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    cr_assert(static_cast<bool>(bench.worker.heldLook));
+    // The stop is on its way when a look shows that the worker has restarted.
+    bench.worker.holdStops = true;
+    session->stopRun(firstRun);
+    cr_assert_eq(bench.worker.stops.size(), 1);
+    bench.worker.born = 99;
+    bench.worker.running = {};
+    bench.worker.holdLooks = false;
+    bench.worker.heldLook();
+    bench.worker.holdStops = false;
+    bench.worker.heldStop();
+    bench.settle();
+    session->tick(monotonicNow());
+    bench.settle();
+    cr_assert_eq(bench.worker.stops.size(), 2);
+}
+
+// Guards against a run that is stopped unsent because it was assigned just after the worker had restarted.
+Test(workerSession, runAssignedAfterARestartIsStarted)
+{
+    session_bench bench;
+    const auto session = bench.makeSession();
+    session->open();
+    bench.settle();
+    auto report = bench.state.workers.begin()->second.report;
+    report.born = 99;
+    report.sequence = 1;
+    bench.apply(batch::worker_seen { report });
+    bench.worker.born = 99;
+    bench.worker.clockMs = 50;
+    bench.assign(1);
+    session->startRun(firstRun);
+    bench.settle();
+    cr_assert(bench.worker.stops.empty());
+    cr_assert_eq(bench.worker.starts.size(), 1);
+    cr_assert_leq(bench.worker.starts.front().leaseUntilMs, 50 + 10'000);
+}
