Do not wait for a rack in an idle pool; a property for the time to reclaim a guarantee

Found by reading: a task with data waits for its rack as long as half of what the rack saves, so with long tasks (60 s) for a minute, also while most of the pool is idle; what can run there has to run within 3 s. And no test played the whole time to reclaim a guarantee. Change: in a pool of which less than half is in use the wait ends after 2.5 s. readySinceMs held the job's due time, also for later steps, and is called jobDueMs. guaranteedJobBeginsWithinTheReclaimTime fills a pool with borrowers at random and plays passes until the guaranteed job has begun as a whole. With no time left for the stop of runs (orderMarginMs 0) the property fails.

--- a/chervilport/batch/job_urgency.cpp
+++ b/chervilport/batch/job_urgency.cpp
@@ -35,7 +35,7 @@
     if (specOf(ready).longRunning)
         return job_outlook::InTime;
     const auto objective = objectiveMs(state, estimates, *ready.job);
-    const auto age = static_cast<double>(nowMs - ready.readySinceMs);
+    const auto age = static_cast<double>(nowMs - ready.jobDueMs);
     const auto finish = age + expectedChainMs(estimates, *ready.job, ready.step);
     if (finish <= objective)
         return job_outlook::InTime;
--- a/chervilport/batch/ready_step.h
+++ b/chervilport/batch/ready_step.h
@@ -20,8 +20,8 @@
     std::vector<std::uint32_t> tasks;
     /// Progress of the step; null when the occurrence has no record yet.
     const step_record* progress = nullptr;
-    /// Time from which the step could run, as far as known, Unix milliseconds.
-    std::int64_t readySinceMs = 0;
+    /// Time from which the job, or its occurrence, could run, Unix milliseconds; later steps become ready after it.
+    std::int64_t jobDueMs = 0;
     /// Whether workers that are kept for urgent jobs can be used; decided by the pass.
     bool mayUseKept = false;
 };
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -21,6 +21,8 @@
     constexpr std::int64_t keptWaitMs = 6'000;
     /// Tasks wait for a place in the rack where they are fast for this part of the time that it saves them.
     constexpr double nearWaitShare = 0.5;
+    /// In an idle pool, tasks wait at most this long for it, in milliseconds: whatever can run there runs within 3 s.
+    constexpr double idleNearWaitMs = 2'500;
     /// Time for the orders, commits and passes around a stop, in milliseconds.
     constexpr std::int64_t orderMarginMs = 1'400;
 
@@ -31,6 +33,8 @@
         std::int64_t nowMs;
         std::set<std::string> covered;
         worker_slots slots;
+        /// Whether less than half of every resource is in use.
+        bool idle = false;
         scheduling_result result;
     };
 
@@ -83,10 +87,9 @@
     std::vector<ranked_step> rankReadySteps(const pass& current)
     {
         std::vector<ranked_step> ranked;
-        const bool idle = isMostlyIdle(current.slots);
         for (auto& each : listReadySteps(current.state, current.nowMs)) {
-            const bool waited = current.nowMs - each.readySinceMs > keptWaitMs;
-            each.mayUseKept = each.job->priority == guaranteedPriority || (idle && waited);
+            const bool waited = current.nowMs - each.jobDueMs > keptWaitMs;
+            each.mayUseKept = each.job->priority == guaranteedPriority || (current.idle && waited);
             const auto outlook = judgeOutlook(current.state, current.memory.estimates, each, current.nowMs);
             // A guarantee brings a job in at once. One that has begun before and lost its runs takes others' room only
             // while it can still be in time.
@@ -95,7 +98,7 @@
             ranked.push_back({ std::move(each), covered, outlook });
         }
         const auto key = [](const ranked_step& each) {
-            return std::tuple(!each.covered, each.outlook, each.step.job->priority, each.step.readySinceMs);
+            return std::tuple(!each.covered, each.outlook, each.step.job->priority, each.step.jobDueMs);
         };
         std::stable_sort(ranked.begin(), ranked.end(),
             [&](const ranked_step& left, const ranked_step& right) { return key(left) < key(right); });
@@ -109,8 +112,10 @@
         const auto& bounds = current.bounds;
         if (covered)
             return static_cast<double>(std::max<std::int64_t>(0, bounds.reclaimMs - bounds.stopMs - orderMarginMs));
-        return nearWaitShare * (bounds.farSlowdown - 1)
-            * expectedRunMs(current.memory.estimates, *ready.job, specOf(ready));
+        const auto saved
+            = (bounds.farSlowdown - 1) * expectedRunMs(current.memory.estimates, *ready.job, specOf(ready));
+        const auto wait = nearWaitShare * saved;
+        return current.idle ? std::min(wait, idleNearWaitMs) : wait;
     }
 
     std::uint32_t nextRun(const ready_step& ready, std::uint32_t index)
@@ -191,7 +196,8 @@
 {
     forgetExpired(state, memory, nowMs);
     pass current { state, memory, bounds, nowMs, coveredJobs(state, memory.estimates, nowMs),
-        makeSlots(state, conditions, memory), {} };
+        makeSlots(state, conditions, memory) };
+    current.idle = isMostlyIdle(current.slots);
     keepForUrgent(current.slots, notePeak(memory.urgentDemand, urgentDemand(state, current.slots), nowMs));
     std::vector<preemption_victim> victims;
     bool victimsListed = false;
@@ -206,7 +212,7 @@
                 holdForGang(current.slots, each, service, holds);
             continue;
         }
-        const bool allowFar = static_cast<double>(nowMs - each.readySinceMs) > nearWait(current, each, covered);
+        const bool allowFar = static_cast<double>(nowMs - each.jobDueMs) > nearWait(current, each, covered);
         const auto placed = placeStep(current.slots, each, service, allowFar);
         for (const auto& task : placed)
             assign(current, each, task);
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/batch/fake_site.h"
 
 #include <criterion/criterion.h>
+#include <map>
 #include <rapidcheck.h>
 #include <set>
 
@@ -294,6 +295,24 @@
     cr_assert_eq(site.activeRuns(gang).size(), 2);
 }
 
+// Guards against a task that waits for the rack of its data, as long as its work is, while most of the pool is idle.
+Test(schedulingPass, tasksOfAnIdlePoolDoNotWaitForARack)
+{
+    fake_site site;
+    site.addWorkers(8, 2);
+    site.submit(normalQueue, { stepOf(16, 1) });
+    site.pass();
+    auto step = stepOf(1, 1);
+    step.dataRack = "r0";
+    step.estimateMs = 60'000;
+    const auto bound = site.submit(normalQueue, { step });
+    site.pass();
+    cr_assert(site.activeRuns(bound).empty());
+    site.advance(2'900);
+    site.pass();
+    cr_assert_eq(site.activeRuns(bound).size(), 1);
+}
+
 // Guards against borrowers stopped for a job beyond its workspace's guarantee.
 Test(schedulingPass, jobBeyondTheGuaranteeStopsNobody)
 {
@@ -425,3 +444,78 @@
     });
     cr_assert(holds);
 }
+
+namespace {
+
+/// Borrowers fill a pool.
+void fillPool(fake_site& site, const std::vector<int>& choices)
+{
+    for (const auto choice : choices) {
+        auto step = stepOf(static_cast<std::uint32_t>(choice % 6 + 1), 1 << (choice / 6 % 4));
+        step.gang = choice % 2 == 0;
+        step.rackLocal = choice % 4 == 0;
+        step.checkpointing = choice % 5 == 0;
+        step.estimateMs = 60'000;
+        site.submit(choice % 3 == 0 ? normalQueue : backgroundQueue, { step });
+        site.advance(choice % 700);
+        site.pass();
+    }
+}
+
+bool hasRun(const fake_site& site, const run_ref& run)
+{
+    const auto* const task = findTask(site.state(), run.task);
+    return task != nullptr && task->worker != noWorker && task->lastRun == run.run;
+}
+
+/// Plays passes until all tasks of the job have begun, and returns after how many milliseconds. Runs that were told to
+/// stop end after the longest time that a worker takes, and with a member its gang.
+std::int64_t playReclaim(fake_site& site, const std::string& job, const step_spec& step, const placement_bounds& bounds)
+{
+    constexpr std::int64_t passMs = 50;
+    std::map<run_ref, std::int64_t> stopAt;
+    for (std::int64_t now = 0; now <= bounds.reclaimMs; now += passMs) {
+        for (const auto& [run, at] : std::map<run_ref, std::int64_t>(stopAt)) {
+            if (at > now)
+                continue;
+            stopAt.erase(run);
+            if (!hasRun(site, run))
+                continue;
+            site.end(run, run_end_kind::Stopped);
+            if (site.job(run.task.job).request.steps.front().gang)
+                site.endAll(run.task.job, run_end_kind::Broken);
+        }
+        for (const auto& run : site.pass().preempted)
+            stopAt.emplace(run.run, now + bounds.stopMs);
+        const auto begun = site.activeRuns(job).size();
+        if (begun == step.count)
+            return now;
+        RC_ASSERT(!step.gang || begun == 0);
+        site.advance(passMs);
+    }
+    return bounds.reclaimMs + passMs;
+}
+
+} // namespace
+
+// Guards against a guarantee that is not reclaimed in time, or by a part of its gang only, whatever others borrow.
+Test(schedulingPass, guaranteedJobBeginsWithinTheReclaimTime)
+{
+    const bool holds = rc::check([] {
+        constexpr std::int64_t guarantee = 32;
+        const placement_bounds bounds;
+        fake_site site(guarantee);
+        // A guarantee can be larger than a rack.
+        site.addWorkers(8, 2);
+        fillPool(site, *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10'000)));
+        const auto accelerators = std::int64_t { 1 } << *rc::gen::inRange(0, 4);
+        const auto count = *rc::gen::inRange<std::int64_t>(1, guarantee / accelerators + 1);
+        auto step = stepOf(static_cast<std::uint32_t>(count), accelerators);
+        step.gang = *rc::gen::arbitrary<bool>();
+        step.rackLocal = *rc::gen::arbitrary<bool>();
+        const auto job = site.submit(urgentQueue, { step });
+        RC_ASSERT(playReclaim(site, job, step, bounds) <= bounds.reclaimMs);
+        RC_ASSERT(isWithinCapacity(site.state()));
+    });
+    cr_assert(holds);
+}
