Move the planned stop of members and the known heartbeat out of the adapter

The times are the same as before, but that a member's stop can no longer end twice. Tests: four of planned_stop, one of them for a hand-over that never settles.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -215,11 +215,6 @@
 
 bool control_node::mayServe() const { return m_group->mayServe(); }
 
-bool control_node::hasReport(const batch::worker_report& report) const
-{
-    return !batch::changesWorker(m_jobs->state(), report);
-}
-
 std::optional<std::string> control_node::leaderIp() const
 {
     const auto status = m_group->status();
@@ -252,6 +247,15 @@
     });
 }
 
+void control_node::dispatchReport(const batch::worker_report& report, std::shared_ptr<control_call> call,
+    std::string name, const std::function<http_response()>& known)
+{
+    if (batch::changesWorker(m_jobs->state(), report))
+        dispatch(std::move(call), std::move(name));
+    else
+        call->reply(known());
+}
+
 void control_node::serveFromPeer(const std::shared_ptr<control_call>& call)
 {
     if (m_stopped || serveCluster(call))
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -48,12 +48,14 @@
     /// Serves a call here when this instance leads, or passes it on to the leader. `name` identifies it in the log.
     void dispatch(std::shared_ptr<control_call>, std::string name);
 
+    /// Answers a worker's report with `known` when the agreed state here has it already, so that nothing needs to be
+    /// told to the leader; otherwise like `dispatch`.
+    void dispatchReport(const batch::worker_report&, std::shared_ptr<control_call>, std::string name,
+        const std::function<http_response()>& known);
+
     /// Returns whether this instance is leader, has applied everything, and no other one can lead.
     bool mayServe() const;
 
-    /// Returns whether the agreed state here has the worker's report, so that nothing needs to be told to the leader.
-    bool hasReport(const batch::worker_report&) const;
-
     /// Returns the address of the leader, if it is known and is another instance.
     std::optional<std::string> leaderIp() const;
 
--- /dev/null
+++ b/tests/control/planned_stop_test.cpp
@@ -0,0 +1,83 @@
+#include "chervilport/control/planned_stop.h"
+
+#include <asio/io_context.hpp>
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace chervilport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr stop_times shortTimes { 100ms, 40ms, 10ms, 20ms };
+
+/// Stages that settle at once and note their order.
+planned_stop::stages notingStages(std::string& order)
+{
+    return { [&order](const std::function<void()>& done) {
+                order += "hand over ";
+                done();
+            },
+        [&order](std::chrono::milliseconds, const std::function<void()>& closed) {
+            order += "close ";
+            closed();
+        },
+        [&order] { order += "end "; } };
+}
+
+} // namespace
+
+// Guards against an instance that closes its connections before it has handed over, or ends twice.
+Test(plannedStop, stagesFollowEachOther)
+{
+    asio::io_context context;
+    std::string order;
+    planned_stop stop(context, shortTimes, notingStages(order));
+    cr_assert(!stop.hasBegun());
+    stop.begin();
+    stop.begin();
+    cr_assert(stop.hasBegun());
+    cr_assert(order == "hand over ", "%s", order.c_str());
+    context.run();
+    cr_assert(order == "hand over close end ", "%s", order.c_str());
+}
+
+// Guards against an instance that waits for a connection that never ends until it is killed.
+Test(plannedStop, endsInTimeWithAConnectionLeft)
+{
+    asio::io_context context;
+    std::string order;
+    auto stages = notingStages(order);
+    stages.closeConnections = [](std::chrono::milliseconds, const std::function<void()>&) {};
+    planned_stop stop(context, shortTimes, stages);
+    stop.begin();
+    context.run();
+    cr_assert(order == "hand over end ", "%s", order.c_str());
+}
+
+// Guards against an instance that waits for another leader until it is killed, and then goes on after its end.
+Test(plannedStop, endsInTimeWithoutAnotherLeader)
+{
+    asio::io_context context;
+    std::string order;
+    std::function<void()> handedOver;
+    auto stages = notingStages(order);
+    stages.handOver = [&](std::function<void()> done) { handedOver = std::move(done); };
+    planned_stop stop(context, shortTimes, stages);
+    stop.begin();
+    context.run();
+    cr_assert(order == "end ", "%s", order.c_str());
+    context.restart();
+    handedOver();
+    context.run();
+    cr_assert(order == "end ", "%s", order.c_str());
+}
+
+// Guards against an entry instance that refuses calls while its balancer still sends some, or has no time left to end.
+Test(plannedStop, entryInstancesServeUntilTheBalancerKnows)
+{
+    const auto times = entryStopTimes(6'000ms);
+    cr_assert_geq(times.notice.count(), 2'000);
+    cr_assert_lt(times.notice.count() + times.idle.count() + times.endMargin.count(), times.grace.count());
+    cr_assert_eq(controlStopTimes(6'000ms).notice.count(), 0);
+}
