Soak: a job is never shown as active once its cancelling was acknowledged

Cause: the ledger noted acknowledged cancellings and checked nothing with them. Change: each question sent after the acknowledgement has to find a final state. Functions without callers are removed.

--- a/tests/soak/job_ledger.cpp
+++ b/tests/soak/job_ledger.cpp
@@ -97,7 +97,7 @@
         report("a refusal that says not run is true", id + " had started before");
 }
 
-void job_ledger::noteShown(const std::string& id, int status, const std::string& state)
+void job_ledger::noteShown(const std::string& id, int status, const std::string& state, bool wasCancelled)
 {
     auto& job = m_jobs.at(id);
     if (status == gone)
@@ -107,6 +107,8 @@
     if (isFinal(job.shownState) && state != job.shownState)
         report("a final state stays", id + " went from " + job.shownState + " to " + state);
     job.shownState = state;
+    if (wasCancelled && !isFinal(state))
+        report("an acknowledged cancelling holds", id + " was shown as " + state);
     if (state == "completed")
         checkCompleted(id, job);
     if (state == "canceled" && !job.cancelSent)
--- a/tests/soak/job_ledger.h
+++ b/tests/soak/job_ledger.h
@@ -51,8 +51,6 @@
 /// Keeps the account of all jobs and notes every broken promise.
 class job_ledger {
 public:
-    using steady_time = std::chrono::steady_clock::time_point;
-
     /// Adds a job before its first submission.
     void add(const std::string& id, std::string spec, std::vector<submitted_step>);
 
@@ -74,8 +72,9 @@
     /// Notes that the caller gave the job up and all its submissions were answered as not run.
     void noteRefused(const std::string& id);
 
-    /// Notes an answer to a question for the state of an accepted job.
-    void noteShown(const std::string& id, int status, const std::string& state);
+    /// Notes an answer to a question for the state of an accepted job, and whether its cancelling had been acknowledged
+    /// when the question was sent.
+    void noteShown(const std::string& id, int status, const std::string& state, bool wasCancelled);
 
     /// Notes a broken promise.
     void report(const std::string& promise, const std::string& detail);
@@ -87,7 +86,6 @@
     std::vector<std::string> unfinished() const;
 
     const std::vector<std::string>& violations() const { return m_violations; }
-    const std::map<std::string, job_account, std::less<>>& jobs() const { return m_jobs; }
 
 private:
     bool dependenciesDone(const job_account&, const task_name&) const;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -217,10 +217,11 @@
 
 void soak_callers::watch(const std::string& id)
 {
-    call({ "GET", soak_operator::prefix + id, {}, {} }, [this, id](const http_result& result) {
+    const bool cancelled = m_ledger.find(id)->cancelAcknowledged;
+    call({ "GET", soak_operator::prefix + id, {}, {} }, [this, id, cancelled](const http_result& result) {
         if (result.delivery == http_delivery::Complete) {
             const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
-            m_ledger.noteShown(id, result.response.status, body.is_object() ? body.value("state", "") : "");
+            m_ledger.noteShown(id, result.response.status, body.is_object() ? body.value("state", "") : "", cancelled);
         }
         const auto& state = m_ledger.find(id)->shownState;
         const bool ended = state == "completed" || state == "failed" || state == "canceled";
