List an end again whose proposal failed

Cause: poll acknowledged every listed end once no proposal was pending, also one whose proposal had failed. Change: a failed proposal resets the listed ends to the acknowledged ones, so that the next poll lists them again; ends that a worker does not list (lost, not started) are shown again by a confirmed stop. Ends count for the worker's health once they are committed. Tests workerSession/endWithAFailedProposalIsListedAgain and runThatWasNotStartedEndsAfterAFailedProposal fail before and pass after.

--- a/chervilport/control/session_host.h
+++ b/chervilport/control/session_host.h
@@ -35,7 +35,7 @@
     std::function<void()> changed;
     /// Called when the worker has confirmed the start of a run.
     std::function<void(const batch::run_ref&)> started;
-    /// Called when the end of a run is proposed.
+    /// Called when the end of a run is committed.
     std::function<void(const batch::run_ref&, batch::run_end_kind)> ended;
 };
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -495,16 +495,44 @@
     logEvent("run_ended",
         { { "run", describe(tracker.run) }, { "worker", workerName(record()) }, { "how", batch::nameOf(kind) },
             { "saved", tracker.checkpoint } });
-    m_host.ended(tracker.run, kind);
     m_host.propose(batch::run_ended { tracker.run, m_worker, kind, tracker.checkpoint },
-        [self = shared_from_this(), run = tracker.run](proposal_result result) {
+        [self = shared_from_this(), run = tracker.run, kind](proposal_result result) {
             --self->m_pendingProposals;
-            if (result == proposal_result::Committed)
-                self->m_runs.erase(run);
+            if (result != proposal_result::Committed) {
+                self->handleUncommittedEnd(run, kind, result);
+                return;
+            }
+            self->m_host.ended(run, kind);
+            self->m_runs.erase(run);
             self->afterProposal();
         });
 }
 
+void worker_session::handleUncommittedEnd(const batch::run_ref& run, batch::run_end_kind kind, proposal_result result)
+{
+    logEvent("run_end_uncommitted",
+        { { "run", describe(run) }, { "worker", workerName(record()) }, { "how", batch::nameOf(kind) },
+            { "outcome", result == proposal_result::Unknown ? "unknown" : "not_committed" } },
+        log_level::Warning);
+    // Do not acknowledge the ends listed since, so that the worker lists them again.
+    m_lastListedEnd = m_acknowledgedEnd;
+    m_pollAgain = true;
+    m_nextPoll = m_now + firstPollBackoff;
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    auto& tracker = found->second;
+    tracker.endProposed = false;
+    if (kind != batch::run_end_kind::Lost && kind != batch::run_end_kind::NotStarted)
+        return;
+    // The worker does not list an end of this kind, so a confirmed stop has to show again that the run has ended.
+    if (tracker.phase != start_phase::Confirmed)
+        tracker.phase = start_phase::Abandoned;
+    tracker.stopRequested = true;
+    tracker.stopConfirmed = false;
+    tracker.stopInFlight = false;
+}
+
 void worker_session::afterProposal()
 {
     if (m_pendingProposals == 0 && !m_closed && m_polled && m_failedPolls == 0)
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -61,6 +61,7 @@
     void confirmStart(run_tracker&);
     void stopOrphan(const batch::run_ref&);
     void proposeEnd(run_tracker&, batch::run_end_kind);
+    void handleUncommittedEnd(const batch::run_ref&, batch::run_end_kind, proposal_result);
     void afterProposal();
     void endIncarnation(const char* reason);
 
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -6,7 +6,9 @@
 
 #include <asio/post.hpp>
 #include <criterion/criterion.h>
+#include <deque>
 #include <thread>
+#include <utility>
 
 using namespace chervilport;
 using namespace chervilport::control_tests;
@@ -60,6 +62,12 @@
         host.mayExecute = [this] { return isLeader; };
         host.propose = [this](batch::batch_command command, const std::function<void(proposal_result)>& done) {
             asio::post(context, [this, command = std::move(command), done] {
+                if (!failedProposals.empty()) {
+                    const auto result = failedProposals.front();
+                    failedProposals.pop_front();
+                    done(result);
+                    return;
+                }
                 proposed.push_back(command);
                 apply(command);
                 done(proposal_result::Committed);
@@ -93,6 +101,8 @@
     batch::batch_state state;
     batch::worker_number number { 1 };
     std::vector<batch::batch_command> proposed;
+    /// Results of the next proposals, which are not applied.
+    std::deque<proposal_result> failedProposals;
     bool isLeader = true;
 };
 
@@ -129,6 +139,53 @@
     cr_assert(session->hasStarted(firstRun));
 }
 
+// Guards against the loss of an end whose proposal failed: once the worker has forgotten an acknowledged end, the run
+// seems to be missing and its task runs a second time.
+Test(workerSession, endWithAFailedProposalIsListedAgain)
+{
+    for (const auto failure : { proposal_result::NotCommitted, proposal_result::Unknown }) {
+        session_fixture fixture;
+        fixture.assign(1);
+        fixture.worker.ended = { { 1, firstRun, batch::run_end_kind::Done, "" } };
+        fixture.failedProposals = { failure };
+        const auto session = fixture.makeSession();
+        session->open();
+        fixture.runReady();
+        cr_assert(fixture.ends().empty());
+        for (auto elapsed = 0s; elapsed < 3s; elapsed += 1s) {
+            session->tick(monotonicNow() + elapsed);
+            fixture.runReady();
+        }
+        cr_assert_eq(fixture.ends().size(), 1);
+        cr_assert(fixture.ends().front() == batch::run_end_kind::Done);
+        cr_assert_eq(fixture.worker.polls.at(1).acknowledgedEnd, 0);
+        cr_assert_eq(fixture.worker.polls.back().acknowledgedEnd, 1);
+    }
+}
+
+// Guards against a run whose start was given up and whose end is never committed, which would keep its task waiting.
+Test(workerSession, runThatWasNotStartedEndsAfterAFailedProposal)
+{
+    session_fixture fixture;
+    fixture.worker.startReplies = { worker_reply::NotSent, worker_reply::NotSent };
+    fixture.failedProposals = { proposal_result::NotCommitted };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    fixture.assign(1);
+    session->startRun(firstRun);
+    fixture.runReady();
+    for (auto elapsed = 0s; elapsed < 4s; elapsed += 1s) {
+        session->tick(monotonicNow() + elapsed);
+        fixture.runReady();
+        std::this_thread::sleep_for(60ms);
+        if (fixture.worker.heldPoll)
+            std::exchange(fixture.worker.heldPoll, nullptr)();
+    }
+    cr_assert_eq(fixture.ends().size(), 1);
+    cr_assert(fixture.ends().front() == batch::run_end_kind::NotStarted);
+}
+
 // Guards against an end that is acknowledged before it is committed, and against one that is never acknowledged.
 Test(workerSession, endIsCommittedBeforeItIsAcknowledged)
 {
