Remove a replaced member also after a change of the leader

Cause: only the leader that admitted the successor knew of the admission (m_lastAdmission). Change: every member records when the membership first lists a new member (member_watch, pure); a leader that saw it as a follower removes the disconnected voter after 1.5 s. Test memberWatch/followerThatSawTheAdmissionRemovesTheReplacedMember.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -30,13 +30,6 @@
     constexpr std::chrono::milliseconds joinInterval { 300 };
     /// Time without a leader after which a member asks to join again, because it may have been removed.
     constexpr std::chrono::milliseconds leaderlessTimeout { 1'500 };
-    /// Like `removalTimeout`, but shorter, for the case that a member was admitted recently and replaces the lost one.
-    constexpr std::chrono::milliseconds replacementTimeout { 1'500 };
-    /// Time for which an admission counts as recent.
-    constexpr std::chrono::milliseconds recentAdmissionWindow { 15'000 };
-    /// Time without a connection after which a member is removed when the group has more voters than its fault
-    /// tolerance requires.
-    constexpr std::chrono::milliseconds removalTimeout { 20'000 };
     /// Minimum time between two attempts to reload the state after a storage failure.
     constexpr std::chrono::milliseconds restoreRetryInterval { 500 };
     /// Time limit for the transfer of leadership in a graceful shutdown.
@@ -108,9 +101,9 @@
     hooks.serve = [this](const std::shared_ptr<control_call>& call) { serveFromPeer(call); };
     hooks.connectionChanged = [this](std::uint64_t instance, bool connected) {
         if (connected)
-            m_disconnectedSince.erase(member_id { instance });
+            m_watch.disconnectedSince.erase(member_id { instance });
         else
-            m_disconnectedSince.emplace(member_id { instance }, monotonicNow());
+            m_watch.disconnectedSince.emplace(member_id { instance }, monotonicNow());
     };
     m_network
         = std::make_shared<peer_network>(context, linkSettings(values), m_storage->incarnation(), std::move(hooks));
@@ -306,8 +299,6 @@
     logEvent("member_joins",
         { { "member", numberOf(joining.id) }, { "incarnation", joining.incarnation },
             { "known", known ? "true" : "false" }, { "appended", appended ? "true" : "false" } });
-    if (appended && !known)
-        m_lastAdmission = monotonicNow();
     updatePeers();
     return makeStatusResponse(describe());
 }
@@ -319,6 +310,7 @@
             { "leader", status.leader ? numberOf(*status.leader) : 0 }, { "ready", status.ready ? "true" : "false" },
             { "voters", status.members.voters.size() }, { "learners", status.members.learners.size() },
             { "commit", status.commitIndex } });
+    recordMembership(m_watch, status.members, monotonicNow());
     m_jobs->handleStatus(status);
     updatePeers();
 }
@@ -339,9 +331,9 @@
     const auto now = monotonicNow();
     for (const auto& peer : peers) {
         if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end())
-            m_disconnectedSince.emplace(peer.id, now);
+            m_watch.disconnectedSince.emplace(peer.id, now);
     }
-    std::erase_if(m_disconnectedSince,
+    std::erase_if(m_watch.disconnectedSince,
         [&](const auto& entry) { return !std::binary_search(ids.begin(), ids.end(), entry.first); });
     m_peers = peers;
     m_network->setPeers(std::move(peers));
@@ -376,27 +368,15 @@
 
 void control_node::removeDisconnected(log_time now)
 {
-    const auto members = m_group->status().members;
-    const auto requiredVoters = 2 * m_settings.faultTolerance + 1;
-    if (members.voters.size() <= requiredVoters)
+    const auto requiredVoters = static_cast<std::size_t>(2 * m_settings.faultTolerance + 1);
+    const auto lost = chooseRemoval(m_watch, m_group->status().members, m_group->self().id, requiredVoters, now);
+    if (!lost || !m_group->removeMember(*lost))
         return;
-    const bool hasReplacement
-        = m_lastAdmission.time_since_epoch().count() != 0 && now - m_lastAdmission < recentAdmissionWindow;
-    const auto timeout = hasReplacement ? replacementTimeout : removalTimeout;
-    for (const auto& voter : members.voters) {
-        const auto disconnected = m_disconnectedSince.find(voter.id);
-        if (voter.id == m_group->self().id || disconnected == m_disconnectedSince.end()
-            || now - disconnected->second < timeout)
-            continue;
-        if (m_group->removeMember(voter.id)) {
-            logEvent("member_removed",
-                { { "member", numberOf(voter.id) },
-                    { "lost_ms",
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now - disconnected->second).count() } },
-                log_level::Warning);
-            return;
-        }
-    }
+    const auto lostFor = now - m_watch.disconnectedSince.at(*lost);
+    logEvent("member_removed",
+        { { "member", numberOf(*lost) },
+            { "lost_ms", std::chrono::duration_cast<std::chrono::milliseconds>(lostFor).count() } },
+        log_level::Warning);
 }
 
 } // namespace chervilport
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -2,6 +2,7 @@
 
 #include "chervilport/control/batch_controller.h"
 #include "chervilport/control/leader_relay.h"
+#include "chervilport/control/member_watch.h"
 #include "chervilport/control/node_settings.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/core/repeating_timer.h"
@@ -94,9 +95,8 @@
     std::shared_ptr<leader_relay> m_relay;
     std::vector<peer_address> m_peers;
     /// Peers without a connection, with the time since when.
-    std::map<member_id, log_time> m_disconnectedSince;
+    member_watch m_watch;
     log_time m_nextRestore;
-    log_time m_lastAdmission;
     log_time m_lastJoin;
     log_time m_leaderSeenAt;
     bool m_stopped = false;
