--- a/chervilport/batch/preemption.cpp
+++ b/chervilport/batch/preemption.cpp
@@ -101,11 +101,14 @@
     }
 
     std::vector<candidate_slot> listCandidateSlots(const worker_slots& slots,
-        const std::vector<preemption_victim>& victims, const ready_step& ready, const std::string& service)
+        const std::vector<preemption_victim>& victims, const ready_step& ready, const std::string& service,
+        victim_scope scope)
     {
         std::map<worker_number, std::vector<std::size_t>> byWorker;
-        for (std::size_t i = 0; i < victims.size(); ++i)
-            byWorker[victims[i].worker].push_back(i);
+        for (std::size_t i = 0; i < victims.size(); ++i) {
+            if (scope == victim_scope::All || victims[i].isFiller || victims[i].isStopping)
+                byWorker[victims[i].worker].push_back(i);
+        }
         std::vector<candidate_slot> candidates;
         for (std::size_t i = 0; i < slots.size(); ++i) {
             const auto& slot = slots[i];
@@ -188,6 +191,11 @@
 
 } // namespace
 
+bool isFiller(const job_record& job, const step_spec& spec)
+{
+    return !spec.gang && !spec.longRunning && job.priority > guaranteedPriority;
+}
+
 std::vector<preemption_victim> listVictims(const batch_state& state, const std::set<std::string>& guaranteed,
     const std::set<run_ref>& stopping, std::int64_t nowMs)
 {
@@ -206,7 +214,7 @@
                     const run_ref run { { id, number, step, i }, tasks[i].lastRun };
                     const bool isAlreadyStopping = stopping.contains(run) || job.phase != job_phase::Active;
                     victims.push_back({ run, tasks[i].worker, chargedDemand(spec),
-                        weight * lostWork(spec, tasks[i], nowMs), spec.gang, isAlreadyStopping });
+                        weight * lostWork(spec, tasks[i], nowMs), spec.gang, isAlreadyStopping, isFiller(job, spec) });
                 }
             }
         }
@@ -215,9 +223,9 @@
 }
 
 std::vector<preemption_choice> choosePreemptions(worker_slots& slots, std::vector<preemption_victim>& victims,
-    const ready_step& ready, const std::string& service, bool allowOffRack)
+    const ready_step& ready, const std::string& service, bool allowOffRack, victim_scope scope)
 {
-    const auto candidates = listCandidateSlots(slots, victims, ready, service);
+    const auto candidates = listCandidateSlots(slots, victims, ready, service, scope);
     auto plan = planInRack(candidates, slots, victims, ready);
     if (!plan && (allowOffRack || !isRackBound(specOf(ready))))
         plan = planWithin(candidates, victims, ready);
--- a/chervilport/batch/preemption.h
+++ b/chervilport/batch/preemption.h
@@ -5,6 +5,7 @@
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/batch/worker_slot.h"
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,16 @@
     bool isGangMember = false;
     /// Whether it is already being stopped.
     bool isStopping = false;
+    /// Whether it is a filler run: see `isFiller`.
+    bool isFiller = false;
+};
+
+/// Runs that may be stopped for a step.
+enum class victim_scope : std::uint8_t {
+    /// All runs in the list.
+    All,
+    /// Filler runs, and runs that stop anyway.
+    Fillers,
 };
 
 /// Worker chosen for a task, and the runs to stop there.
@@ -32,6 +43,10 @@
     std::vector<run_ref> victims;
 };
 
+/// Returns whether the runs of a step are fillers: single tasks below the highest priority. The stop of one loses
+/// little work and ends no other run, so they may use workers that are reserved for urgent jobs until these need them.
+bool isFiller(const job_record&, const step_spec&);
+
 /// Lists the active runs of all jobs except those in `guaranteed`. Runs in `stopping`, and runs of ended jobs, are
 /// marked as stopping.
 std::vector<preemption_victim> listVictims(
@@ -41,7 +56,7 @@
 /// is fast in one rack only is placed in that rack; `allowOffRack` allows other racks when that fails. The chosen
 /// capacity and victims are removed from the arguments. Returns an empty list when not all tasks of the step can be
 /// placed.
-std::vector<preemption_choice> choosePreemptions(
-    worker_slots&, std::vector<preemption_victim>&, const ready_step&, const std::string& service, bool allowOffRack);
+std::vector<preemption_choice> choosePreemptions(worker_slots&, std::vector<preemption_victim>&, const ready_step&,
+    const std::string& service, bool allowOffRack, victim_scope = victim_scope::All);
 
 } // namespace chervilport::batch
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -28,6 +28,10 @@
     /// Time for the requests, commits and passes around the stop of a run, in milliseconds.
     constexpr std::int64_t stopOverheadMs = 1'400;
 
+    /// Longest time to stop a run for which fillers may use the workers that are reserved for urgent jobs, in
+    /// milliseconds: the start of a short urgent job may wait for that long without missing its objective.
+    constexpr std::int64_t maxFillerStopMs = 500;
+
     /// Inputs and progress of a pass.
     struct pass {
         const batch_state& state;
@@ -92,7 +96,8 @@
         std::vector<ranked_step> ranked;
         for (auto& each : listReadySteps(current.state, current.nowMs)) {
             const bool hasWaited = current.nowMs - each.jobDueMs > urgentReservationWaitMs;
-            each.mayUseUrgentReservation = each.job->priority == guaranteedPriority || (current.isIdle && hasWaited);
+            each.mayUseUrgentReservation = each.job->priority == guaranteedPriority || (current.isIdle && hasWaited)
+                || (current.bounds.maxStopMs <= maxFillerStopMs && isFiller(*each.job, specOf(each)));
             const auto status = objectiveStatusOf(current.state, current.schedulerState.estimates, each, current.nowMs);
             // A guaranteed job may reclaim capacity at once for its first start. After it has lost its runs, it may do
             // so only while it can still meet its objective.
@@ -153,9 +158,9 @@
     }
 
     void preemptFor(pass& current, std::vector<preemption_victim>& victims, const ready_step& ready,
-        const std::string& service, bool allowOffRack)
+        const std::string& service, bool allowOffRack, victim_scope scope)
     {
-        for (const auto& choice : choosePreemptions(current.slots, victims, ready, service, allowOffRack)) {
+        for (const auto& choice : choosePreemptions(current.slots, victims, ready, service, allowOffRack, scope)) {
             const auto worker = current.slots[choice.slot].worker->number;
             current.schedulerState.reservations[worker] = { ready.job->request.id, current.nowMs + reservationMs };
             current.slots[choice.slot].reservedFor = ready.job->request.id;
@@ -212,8 +217,10 @@
     // Place the ready steps in order of their rank.
     for (auto& [each, isGuaranteed, status] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
+        const bool isUrgent = each.job->priority == guaranteedPriority && status == objective_status::OnTime;
+        const bool mayPreempt = isGuaranteed || isUrgent;
         const bool mayReserve = !isGuaranteed && specOf(each).gang && status != objective_status::Expired;
-        if (!isGuaranteed && isUnplaceable(unplaceable, each, service)) {
+        if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
             continue;
@@ -223,7 +230,7 @@
         for (const auto& task : placed)
             assign(current, each, task);
         if (placed.size() == each.tasks.size()) {
-            if (isGuaranteed)
+            if (mayPreempt)
                 releaseReservations(current, each.job->request.id);
             continue;
         }
@@ -232,14 +239,16 @@
                 reserveForGang(current.slots, each, service, gangBudget);
             if (!anyFits(current, each, service))
                 unplaceable.push_back({ chargedDemand(specOf(each)), service, specOf(each).requiredLabel });
-            continue;
         }
-        // Preempt borrowers for the tasks of a guaranteed job that were not placed.
+        if (!mayPreempt)
+            continue;
+        // Preempt borrowers for the tasks of a guaranteed job that were not placed, and fillers for other urgent ones.
         if (!hasListedVictims)
             victims = listVictims(state, current.guaranteed, schedulerState.stopping, nowMs);
         hasListedVictims = true;
         each.tasks.erase(each.tasks.begin(), each.tasks.begin() + static_cast<std::ptrdiff_t>(placed.size()));
-        preemptFor(current, victims, each, service, allowOffRack);
+        const auto scope = isGuaranteed ? victim_scope::All : victim_scope::Fillers;
+        preemptFor(current, victims, each, service, allowOffRack, scope);
     }
     return std::move(current.result);
 }
