--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -97,7 +97,8 @@
         for (auto& each : listReadySteps(current.state, current.nowMs)) {
             const bool hasWaited = current.nowMs - each.jobDueMs > urgentReservationWaitMs;
             each.mayUseUrgentReservation = each.job->priority == guaranteedPriority || (current.isIdle && hasWaited)
-                || (current.bounds.maxStopMs <= maxFillerStopMs && isFiller(*each.job, specOf(each)));
+                || (current.bounds.maxStopMs <= maxFillerStopMs && specOf(each).checkpointing
+                    && isFiller(*each.job, specOf(each)));
             const auto status = objectiveStatusOf(current.state, current.schedulerState.estimates, each, current.nowMs);
             // A guaranteed job may reclaim capacity at once for its first start. After it has lost its runs, it may do
             // so only while it can still meet its objective.
