--- a/chervilport/batch/latency_objective.cpp
+++ b/chervilport/batch/latency_objective.cpp
@@ -1,11 +1,16 @@
 #include "chervilport/batch/latency_objective.h"
 
+#include "chervilport/batch/guaranteed_jobs.h"
+
 namespace chervilport::batch {
 
 namespace {
 
     /// A result is useful up to this multiple of the objective; a job that finishes later expires.
     constexpr double expiryFactor = 3.0;
+    /// Ratio of the slack of an objective after which a step that waits is at risk. Run times differ by about a third
+    /// from the expected ones.
+    constexpr double riskSlackRatio = 0.65;
 
 } // namespace
 
@@ -43,4 +48,12 @@
     return finish <= expiryFactor * objective ? objective_status::Late : objective_status::Expired;
 }
 
+bool isAtRisk(const batch_state& state, const run_estimates& estimates, const ready_step& ready, std::int64_t nowMs)
+{
+    if (specOf(ready).longRunning || ready.job->priority == guaranteedPriority)
+        return false;
+    const auto slack = objectiveMs(state, estimates, *ready.job) - expectedChainMs(estimates, *ready.job, ready.step);
+    return static_cast<double>(nowMs - ready.jobDueMs) > riskSlackRatio * slack;
+}
+
 } // namespace chervilport::batch
--- a/chervilport/batch/latency_objective.h
+++ b/chervilport/batch/latency_objective.h
@@ -28,4 +28,9 @@
 /// Classifies a ready step by the objective of its job, the age of the job and the expected remaining time.
 objective_status objectiveStatusOf(const batch_state&, const run_estimates&, const ready_step&, std::int64_t nowMs);
 
+/// Returns whether a step below the highest priority has used so much of the slack of its objective that a run somewhat
+/// longer than expected misses it. In a lasting overload, steps of the same priority that still have more slack go
+/// first: in the order of arrival all of them would start just too late.
+bool isAtRisk(const batch_state&, const run_estimates&, const ready_step&, std::int64_t nowMs);
+
 } // namespace chervilport::batch
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -89,6 +89,7 @@
         ready_step step;
         bool isGuaranteed = false;
         objective_status status = objective_status::OnTime;
+        bool isAtRisk = false;
     };
 
     std::vector<ranked_step> rankReadySteps(const pass& current)
@@ -104,10 +105,12 @@
             // so only while it can still meet its objective.
             const bool mayReclaim = status == objective_status::OnTime || !each.job->hasStarted;
             const bool isGuaranteed = mayReclaim && current.guaranteed.contains(each.job->request.id);
-            ranked.push_back({ std::move(each), isGuaranteed, status });
+            const bool risk = isAtRisk(current.state, current.schedulerState.estimates, each, current.nowMs);
+            ranked.push_back({ std::move(each), isGuaranteed, status, risk });
         }
         const auto key = [](const ranked_step& each) {
-            return std::tuple(!each.isGuaranteed, each.status, each.step.job->priority, each.step.jobDueMs);
+            return std::tuple(
+                !each.isGuaranteed, each.status, each.step.job->priority, each.isAtRisk, each.step.jobDueMs);
         };
         std::stable_sort(ranked.begin(), ranked.end(),
             [&](const ranked_step& left, const ranked_step& right) { return key(left) < key(right); });
@@ -216,7 +219,7 @@
     auto gangBudget = makeGangReservationBudget(current.slots);
 
     // Place the ready steps in order of their rank.
-    for (auto& [each, isGuaranteed, status] : rankReadySteps(current)) {
+    for (auto& [each, isGuaranteed, status, risk] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
         const bool isUrgent = each.job->priority == guaranteedPriority && status == objective_status::OnTime;
         const bool mayPreempt = isGuaranteed || isUrgent;
--- a/tests/batch/fake_site.cpp
+++ b/tests/batch/fake_site.cpp
@@ -62,7 +62,7 @@
 
 scheduling_result fake_site::pass()
 {
-    auto result = planPass(m_state, conditions, schedulerState, {}, m_nowMs);
+    auto result = planPass(m_state, conditions, schedulerState, bounds, m_nowMs);
     for (const auto& each : result.assigned)
         apply(each);
     return result;
--- a/tests/batch/fake_site.h
+++ b/tests/batch/fake_site.h
@@ -57,6 +57,9 @@
     /// State that the leader keeps between passes.
     batch::scheduler_state schedulerState;
 
+    /// Bounds of the site.
+    batch::placement_bounds bounds;
+
 private:
     batch::batch_state m_state;
     std::int64_t m_nowMs = 1'000'000;
--- /dev/null
+++ b/tests/batch/overload_test.cpp
@@ -0,0 +1,109 @@
+#include "chervilport/batch/latency_objective.h"
+#include "chervilport/batch/preemption.h"
+#include "tests/batch/fake_site.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport::batch;
+using namespace chervilport::batch_tests;
+
+namespace {
+
+constexpr std::int64_t fastStopMs = 200;
+constexpr std::int64_t slowStopMs = 900;
+
+step_spec checkpointingStep(std::uint32_t count)
+{
+    auto step = stepOf(count, 1);
+    step.checkpointing = true;
+    return step;
+}
+
+/// Submits and ends urgent work, so that workers are reserved for the next burst of it.
+void reserveForBursts(fake_site& site, std::uint32_t workers)
+{
+    const auto urgent = site.submit(urgentQueue, { stepOf(workers, 8) });
+    site.pass();
+    site.endAll(urgent, run_end_kind::Done);
+}
+
+/// Returns the number of active runs after all tasks of a background job that fit were started.
+std::size_t placeBackground(fake_site& site, const step_spec& step)
+{
+    const auto job = site.submit(backgroundQueue, { step });
+    site.pass();
+    return site.activeRuns(job).size();
+}
+
+} // namespace
+
+// Load: short urgent bursts beside a long queue of background tasks. Guards against workers that stay empty between
+// the bursts although the tasks on them could be stopped in time.
+Test(overload, checkpointingTasksUseReservedWorkersWhereStopsAreFast)
+{
+    fake_site site;
+    site.bounds.maxStopMs = fastStopMs;
+    site.addWorkers(16);
+    reserveForBursts(site, 4);
+    cr_assert_eq(placeBackground(site, checkpointingStep(200)), 16 * 8);
+}
+
+// Load: as above, where a stop takes about as long as an urgent job may wait. Guards against urgent jobs that miss
+// their objective while they wait for stops, and against tasks that lose all their work.
+Test(overload, reservedWorkersStayEmptyWhereStopsAreSlowOrLoseWork)
+{
+    fake_site slow;
+    slow.bounds.maxStopMs = slowStopMs;
+    slow.addWorkers(16);
+    reserveForBursts(slow, 4);
+    cr_assert_lt(placeBackground(slow, checkpointingStep(200)), 16 * 8);
+
+    fake_site fast;
+    fast.bounds.maxStopMs = fastStopMs;
+    fast.addWorkers(16);
+    reserveForBursts(fast, 4);
+    cr_assert_lt(placeBackground(fast, stepOf(200, 1)), 16 * 8);
+}
+
+// Load: an urgent burst beyond the guarantee of its workspace meets workers filled with background tasks. Guards
+// against urgent jobs that wait for these tasks, and against gangs that are broken for jobs without a guarantee.
+Test(overload, urgentBurstStopsFillersOnly)
+{
+    fake_site site;
+    site.bounds.maxStopMs = fastStopMs;
+    site.addWorkers(4);
+    reserveForBursts(site, 2);
+    const auto gang = site.submit(normalQueue, { gangStep(2, 8) });
+    site.pass();
+    cr_assert_eq(site.activeRuns(gang).size(), 2);
+    const auto filler = site.submit(backgroundQueue, { checkpointingStep(100) });
+    site.pass();
+    cr_assert_eq(site.activeRuns(filler).size(), 16);
+    const auto burst = site.submit(urgentQueue, { gangStep(2, 8) });
+    const auto preempted = site.pass().preempted;
+    cr_assert_eq(preempted.size(), 16);
+    for (const auto& each : preempted) {
+        cr_assert(each.run.task.job == filler);
+        site.end(each.run, run_end_kind::Stopped, "saved");
+    }
+    site.pass();
+    cr_assert_eq(site.activeRuns(burst).size(), 2);
+    cr_assert_eq(site.activeRuns(gang).size(), 2);
+}
+
+// Load: more work than the workers can do, for long. Guards against an order of arrival in which every job starts just
+// too late for its objective.
+Test(overload, jobsWithSlackGoBeforeJobsAtRisk)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto old = site.submit(normalQueue, { stepOf(8, 1) });
+    const auto& job = site.job(old);
+    const auto& estimates = site.schedulerState.estimates;
+    const auto slack = objectiveMs(site.state(), estimates, job) - expectedChainMs(estimates, job);
+    site.advance(static_cast<std::int64_t>(slack * 0.9));
+    const auto fresh = site.submit(normalQueue, { stepOf(8, 1) });
+    site.pass();
+    cr_assert_eq(site.activeRuns(fresh).size(), 8);
+    cr_assert(site.activeRuns(old).empty());
+}
