Grant leases as long as a worker holds them

Cause: leases of 7 s, renewed every 2 s, leave as little as 4.8 s: runs of workers behind a zone cut of 5.5 to 6.5 s lapsed and began anew, and where workers hold 6 s at most, the leader took them for running for a second longer than they could. Change: every grant is the longest lease that the site's workers hold (hold_max_ms).

--- a/chervilport/control/node_settings.h
+++ b/chervilport/control/node_settings.h
@@ -12,7 +12,8 @@
 
 /// Bounds of a site on the behaviour of its workers.
 struct worker_bounds {
-    /// Longest lease that a worker holds; it shortens a longer one to this.
+    /// Longest lease that a worker holds; it shortens a longer one to this. Every grant is as long, so that runs
+    /// outlast a short silence of their worker or a change of leader.
     std::chrono::milliseconds maxLease { 10'000 };
     /// Longest time that a worker takes to stop a run.
     std::chrono::milliseconds maxStopTime { 1'000 };
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-    /// Length of a lease: long enough to outlast a change of leader, short enough that the tasks of a lost worker run
-    /// again soon.
-    constexpr std::chrono::milliseconds leaseLength { 7'000 };
     /// Longest time for which a poll waits for the end of a run. While the worker responds, the lease is renewed as
     /// often.
     constexpr std::chrono::milliseconds pollWait { 2'000 };
@@ -180,7 +177,7 @@
     // In a poll that reaches another incarnation, the end of the lease would refer to the wrong clock.
     const bool expectsResponse = m_failedPolls == 0 && !hasRestarted() && !m_runs.empty();
     if (m_clock.readingMs && expectsResponse)
-        request.leaseUntilMs = grantLease(m_clock, leaseLength, now);
+        request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
     if (m_polled && expectsResponse && !m_pollAgain)
         request.wait = pollWait;
     m_pollInFlight = true;
@@ -376,7 +373,7 @@
     request.run = tracker.run;
     request.spec = job->request.spec;
     request.fencingToken = m_host.term;
-    request.leaseUntilMs = grantLease(m_clock, leaseLength, now);
+    request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
     if (const auto* const task = batch::findTask(m_host.state(), tracker.run.task))
         request.checkpoint = task->checkpoint;
     ++tracker.attempts;
