Measure leases on a clock that counts the time of a suspension

Cause: monotonicNow read the steady clock, which stands still while a machine is suspended. A leader that wakes up would have taken its lease for valid until it heard from the group, and could have sent orders beside its successor.

--- a/chervilport/instance/monotonic_now.h
+++ b/chervilport/instance/monotonic_now.h
@@ -6,7 +6,8 @@
 
 namespace chervilport {
 
-/// Returns the local monotonic clock as log time, for timers and leases; its epoch is arbitrary.
+/// Returns the local monotonic clock as log time, for timers and leases; its epoch is arbitrary. It also counts the
+/// time for which the machine is suspended.
 log_time monotonicNow();
 
 /// Returns the wall clock as log time, in microseconds since 1970-01-01 UTC.
