--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+    /// Returns whether the later report shows that the earlier worker has ended: another worker started later at its
+    /// address. A worker that restarts under the same id keeps its record and its runs: a start request sent before its
+    /// report arrived can have started a run in the new incarnation, so each run is reconciled with the worker itself.
+    bool endsIncarnation(const worker_report& earlier, const worker_report& later)
+    {
+        return earlier.id != later.id && earlier.address == later.address && earlier.incarnation <= later.incarnation;
+    }
+
     void dropExpiredJobs(batch_state& state)
     {
         std::erase_if(state.jobs, [&](const auto& entry) {
@@ -172,25 +180,6 @@
             endJob(state, job, job_phase::Failed);
     }
 
-    std::vector<run_ref> runsOn(const batch_state& state, worker_number worker)
-    {
-        std::vector<run_ref> found;
-        for (const auto& [id, job] : state.jobs) {
-            if (job.activeRuns == 0)
-                continue;
-            for (const auto& [number, occurrence] : job.occurrences) {
-                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                    const auto& tasks = occurrence.steps[step].tasks;
-                    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                        if (tasks[i].worker == worker)
-                            found.push_back({ { id, number, step, i }, tasks[i].lastRun });
-                    }
-                }
-            }
-        }
-        return found;
-    }
-
     void apply(batch_state& state, const worker_ended& command)
     {
         if (!state.workers.contains(command.worker))
@@ -200,25 +189,12 @@
         state.workers.erase(command.worker);
     }
 
-    /// Returns whether the later report shows that the earlier worker has ended: another worker started later at its
-    /// address. A worker that restarts under the same id keeps its record and its runs: a start request sent before its
-    /// report arrived can have started a run in the new incarnation, so each run is reconciled with the worker itself.
-    bool endsIncarnation(const worker_report& earlier, const worker_report& later)
-    {
-        return earlier.id != later.id && earlier.address == later.address && earlier.incarnation <= later.incarnation;
-    }
-
     void apply(batch_state& state, const worker_reported& command)
     {
         if (isOutdated(state, command.report))
             return;
         // Remove the previous worker at the same address and end its runs.
-        std::vector<worker_number> ended;
-        for (auto& [number, worker] : state.workers) {
-            if (endsIncarnation(worker.report, command.report))
-                ended.push_back(number);
-        }
-        for (const auto number : ended)
+        for (const auto number : replacedWorkers(state, command.report))
             apply(state, worker_ended { number });
         // Update the worker with this id, or add a new one.
         for (auto& [number, worker] : state.workers) {
@@ -248,6 +224,16 @@
         std::visit([&](const auto& content) { apply(state, content); }, command);
 }
 
+std::vector<worker_number> replacedWorkers(const batch_state& state, const worker_report& report)
+{
+    std::vector<worker_number> replaced;
+    for (const auto& [number, worker] : state.workers) {
+        if (endsIncarnation(worker.report, report))
+            replaced.push_back(number);
+    }
+    return replaced;
+}
+
 bool changesWorker(const batch_state& state, const worker_report& report)
 {
     const auto* const worker = findWorker(state, report.id);
--- a/chervilport/batch/run_accounting.cpp
+++ b/chervilport/batch/run_accounting.cpp
@@ -86,6 +86,25 @@
     return task != nullptr && task->worker == worker && worker != noWorker && task->lastRun == run.run;
 }
 
+std::vector<run_ref> runsOn(const batch_state& state, worker_number worker)
+{
+    std::vector<run_ref> found;
+    for (const auto& [id, job] : state.jobs) {
+        if (job.activeRuns == 0)
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    if (tasks[i].worker == worker)
+                        found.push_back({ { id, number, step, i }, tasks[i].lastRun });
+                }
+            }
+        }
+    }
+    return found;
+}
+
 void beginRun(batch_state& state, const run_ref& run, worker_number worker)
 {
     auto& job = state.jobs.at(run.task.job);
--- a/chervilport/batch/run_accounting.h
+++ b/chervilport/batch/run_accounting.h
@@ -3,6 +3,8 @@
 #include "chervilport/batch/batch_state.h"
 #include "chervilport/batch/task_ref.h"
 
+#include <vector>
+
 namespace chervilport::batch {
 
 /// Recomputes all values that are derived from the jobs: used capacity and the numbers of active and done tasks.
@@ -20,6 +22,9 @@
 /// Returns whether the run is the active run of its task and is assigned to this worker.
 bool isActive(const batch_state&, const run_ref&, worker_number);
 
+/// Returns the active runs on a worker.
+std::vector<run_ref> runsOn(const batch_state&, worker_number);
+
 /// Records the run as active on the worker and charges its demand there. The task must exist, be not done and have no
 /// active run.
 void beginRun(batch_state&, const run_ref&, worker_number);
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -75,8 +75,10 @@
 void batch_controller::apply(std::string_view payload)
 {
     const auto batch = batch::decodeBatch(payload);
-    if (m_leading)
+    if (m_leading) {
         recordRunTimes(batch);
+        logEndedWorkers(batch);
+    }
     batch::applyBatch(m_state, batch);
     if (m_leading)
         logEndedJobs(batch);
@@ -144,6 +146,41 @@
     }
 }
 
+void batch_controller::logEndedWorkers(const batch::command_batch& batch) const
+{
+    for (const auto& command : batch.commands) {
+        if (const auto* const ended = std::get_if<batch::worker_ended>(&command))
+            logEndedWorker(ended->worker, "removed", batch.timeMs);
+        const auto* const reported = std::get_if<batch::worker_reported>(&command);
+        if (reported == nullptr || batch::isOutdated(m_state, reported->report))
+            continue;
+        for (const auto worker : batch::replacedWorkers(m_state, reported->report))
+            logEndedWorker(worker, "replaced by " + reported->report.id, batch.timeMs);
+    }
+}
+
+void batch_controller::logEndedWorker(batch::worker_number number, const std::string& reason, std::int64_t timeMs) const
+{
+    const auto* const worker = batch::findWorker(m_state, number);
+    if (worker == nullptr)
+        return;
+    const auto& report = worker->report;
+    logEvent("worker_ended",
+        { { "worker", report.id }, { "address", report.address }, { "reason", reason },
+            { "draining", report.draining ? "true" : "false" }, { "runs", worker->activeRuns } },
+        log_level::Warning);
+    m_metrics->increment("chervilport_workers_ended_total", { { "draining", report.draining ? "true" : "false" } });
+    for (const auto& run : batch::runsOn(m_state, number)) {
+        const auto ageMs = timeMs - batch::findTask(m_state, run.task)->startedMs;
+        logEvent("run_ended",
+            { { "run", batch::describe(run) }, { "worker", report.id },
+                { "how", batch::nameOf(batch::run_end_kind::Lost) }, { "reason", "worker ended" }, { "age_ms", ageMs },
+                { "beside", worker->activeRuns - 1 } });
+        m_metrics->increment(
+            "chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(batch::run_end_kind::Lost)) } });
+    }
+}
+
 std::string batch_controller::takeSnapshot() const { return batch::encodeState(m_state); }
 
 void batch_controller::loadSnapshot(std::string_view bytes) { m_state = batch::decodeState(bytes); }
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -87,23 +87,12 @@
 
 void worker_session::open()
 {
-    for (const auto& [id, job] : m_host.state().jobs) {
-        if (job.activeRuns == 0)
-            continue;
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& tasks = occurrence.steps[step].tasks;
-                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                    if (tasks[i].worker != m_worker)
-                        continue;
-                    run_tracker tracker { { { id, number, step, i }, tasks[i].lastRun } };
-                    tracker.stopRequested = job.phase != batch::job_phase::Active;
-                    // A start request of an earlier leader can still be in flight.
-                    tracker.mayHaveArrived = true;
-                    m_runs.emplace(tracker.run, std::move(tracker));
-                }
-            }
-        }
+    for (const auto& run : batch::runsOn(m_host.state(), m_worker)) {
+        run_tracker tracker { run };
+        tracker.stopRequested = batch::findJob(m_host.state(), run.task.job)->phase != batch::job_phase::Active;
+        // A start request of an earlier leader can still be in flight.
+        tracker.mayHaveArrived = true;
+        m_runs.emplace(run, std::move(tracker));
     }
     poll();
 }
