--- /dev/null
+++ b/tests/control/crash_loop_test.cpp
@@ -0,0 +1,43 @@
+#include "tests/control/fake_pool.h"
+
+#include <criterion/criterion.h>
+
+using namespace chervilport;
+using namespace chervilport::control_tests;
+
+namespace {
+
+constexpr int workers = 12;
+/// The start after which a task that crashes workers counts as endless: the third one after three crashes.
+constexpr int endlessStarts = 6;
+const batch::task_ref deadlyTask { "deadly", 0, 0, 0 };
+
+bool hasEnded(const fake_pool& pool) { return pool.job("deadly").phase != batch::job_phase::Active; }
+
+} // namespace
+
+// Guards against a task that crashes one worker after the other because runs that are lost with a worker never count.
+Test(crashLoop, taskThatCrashesWorkersIsGivenUp)
+{
+    fake_pool pool(workers);
+    pool.makeDeadly(deadlyTask);
+    pool.submit("deadly", 1, 8);
+    pool.runUntil([&] { return hasEnded(pool) || pool.startsOf(deadlyTask) >= endlessStarts; });
+    cr_assert_lt(pool.startsOf(deadlyTask), endlessStarts);
+    cr_assert(pool.job("deadly").phase == batch::job_phase::Failed);
+}
+
+// Guards against a count of crashes that is lost with the leader: the leader changes after each second start.
+Test(crashLoop, taskThatCrashesWorkersIsGivenUpAcrossChangesOfTheLeader)
+{
+    fake_pool pool(workers);
+    pool.makeDeadly(deadlyTask);
+    pool.submit("deadly", 1, 8);
+    for (int starts = 2; starts < endlessStarts && !hasEnded(pool); starts += 2) {
+        pool.runUntil([&] { return hasEnded(pool) || pool.startsOf(deadlyTask) >= starts; });
+        pool.changeLeader();
+    }
+    pool.runUntil([&] { return hasEnded(pool) || pool.startsOf(deadlyTask) >= endlessStarts; });
+    cr_assert_lt(pool.startsOf(deadlyTask), endlessStarts);
+    cr_assert(pool.job("deadly").phase == batch::job_phase::Failed);
+}
