--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -3,12 +3,17 @@
 #include "chervilport/batch/run_accounting.h"
 
 #include <algorithm>
+#include <iterator>
+#include <span>
 #include <vector>
 
 namespace chervilport::batch {
 
 namespace {
 
+    /// Age of a run of a long-running task from which a crash of its worker no longer counts, in milliseconds.
+    constexpr std::int64_t longRunningSuspicionMs = 60'000;
+
     /// Returns whether the later report shows that the earlier worker has ended: another worker started later at its
     /// address. A worker that restarts under the same id keeps its record and its runs: a start request sent before its
     /// report arrived can have started a run in the new incarnation, so each run is reconciled with the worker itself.
@@ -36,6 +41,7 @@
     {
         job.phase = phase;
         job.endedMs = state.timeMs;
+        removeCrashes(state.crashes, job.request.id);
         dropProgressIfIdle(job);
     }
 
@@ -91,6 +97,7 @@
         if (!isDone)
             return;
         job.occurrences.erase(found);
+        removeCrashes(state.crashes, job.request.id, number);
         ++job.occurrencesDone;
         if (job.occurrencesDone == occurrencesOf(job.request))
             endJob(state, job, job_phase::Completed);
@@ -209,6 +216,46 @@
         state.workers.emplace(worker.number, std::move(worker));
     }
 
+    /// Returns whether a crash of its worker can be the fault of a run. A long-running task that has run for long is
+    /// not the likely cause of a crash.
+    bool isSuspicious(const batch_state& state, const run_ref& run)
+    {
+        const auto* const job = findJob(state, run.task.job);
+        const auto* const task = findTask(state, run.task);
+        if (job == nullptr || task == nullptr || run.run > task->lastRun)
+            return false;
+        const bool isLongRunning = job->request.steps[run.task.step].longRunning;
+        return !isLongRunning || state.timeMs - task->startedMs <= longRunningSuspicionMs;
+    }
+
+    /// Returns whether all suspicious runs on the worker, started or not, belong to the job of the first of `runs`.
+    bool isOfOneJob(const batch_state& state, worker_number worker, std::span<const run_ref> runs)
+    {
+        auto candidates = runsOn(state, worker);
+        candidates.insert(candidates.end(), runs.begin(), runs.end());
+        return std::all_of(candidates.begin(), candidates.end(),
+            [&](const run_ref& run) { return run.task.job == runs.front().task.job || !isSuspicious(state, run); });
+    }
+
+    void apply(batch_state& state, const worker_crashed& command)
+    {
+        const auto* const worker = findWorker(state, command.worker);
+        std::vector<run_ref> runs;
+        std::copy_if(command.runs.begin(), command.runs.end(), std::back_inserter(runs), [&](const run_ref& run) {
+            const auto* const job = findJob(state, run.task.job);
+            return job != nullptr && job->phase == job_phase::Active && isSuspicious(state, run);
+        });
+        if (worker == nullptr || runs.empty())
+            return;
+        const worker_crash crash { worker->report.address, runs, isOfOneJob(state, command.worker, runs),
+            state.timeMs };
+        for (const auto& task : recordCrash(state.crashes, crash)) {
+            auto& job = state.jobs.at(task.job);
+            if (job.phase == job_phase::Active)
+                endJob(state, job, job_phase::Failed);
+        }
+    }
+
     void apply(batch_state& state, const config_applied& command)
     {
         if (command.config.version > state.config.version)
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -135,6 +135,21 @@
     visitEach(archive, value.worker);
 }
 
+template <typename Archive> void visitFields(Archive& archive, worker_crashed& value)
+{
+    visitEach(archive, value.worker, value.runs);
+}
+
+template <typename Archive> void visitFields(Archive& archive, crash_record& value)
+{
+    visitEach(archive, value.crashes, value.lastRun, value.lastMs);
+}
+
+template <typename Archive> void visitFields(Archive& archive, crash_history& value)
+{
+    visitEach(archive, value.tasks, value.addresses);
+}
+
 template <typename Archive> void visitFields(Archive& archive, config_applied& value)
 {
     visitEach(archive, value.config);
@@ -174,6 +189,9 @@
 template <typename Archive> void visitFields(Archive& archive, batch_state& value)
 {
     visitEach(archive, value.timeMs, value.config, value.workers, value.nextWorker, value.jobs);
+    // Snapshots of earlier versions end here.
+    if (archive.hasMore())
+        visitFields(archive, value.crashes);
 }
 
 namespace {
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -71,14 +71,21 @@
     worker_number worker = noWorker;
 };
 
+/// Records that a worker crashed while these runs were active there. It ends no run: the worker may report again.
+struct worker_crashed {
+    worker_number worker = noWorker;
+    /// Runs that the worker was known to execute.
+    std::vector<run_ref> runs;
+};
+
 /// Replaces the configuration if its version is higher.
 struct config_applied {
     site_config config;
 };
 
-/// A command that changes the state.
+/// A command that changes the state. The order of the alternatives is part of the format of the log.
 using batch_command = std::variant<job_submitted, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
-    config_applied>;
+    config_applied, worker_crashed>;
 
 /// Commands that are committed together.
 struct command_batch {
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chervilport/batch/crash_history.h"
 #include "chervilport/batch/job_record.h"
 #include "chervilport/batch/site_config.h"
 #include "chervilport/batch/worker_record.h"
@@ -23,6 +24,8 @@
     std::uint32_t nextWorker = 1;
     /// Jobs by id.
     std::map<std::string, job_record> jobs;
+    /// Crashes of workers under the tasks of active jobs.
+    crash_history crashes;
 };
 
 /// Returns the job, or null.
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -94,13 +94,12 @@
     }
     const auto id = report.id;
     const char* const condition = report.draining ? "draining" : "ready";
-    jobs.propose(
-        batch::worker_reported { std::move(report) }, [id, condition, done = std::move(done)](proposal_result result) {
-            const bool committed = result == proposal_result::Committed;
-            logEvent("worker_seen",
-                { { "worker", id }, { "condition", condition }, { "outcome", committed ? "committed" : "unknown" } });
-            done(committed ? call_result::Applied : call_result::Unknown);
-        });
+    jobs.proposeReport(std::move(report), [id, condition, done = std::move(done)](proposal_result result) {
+        const bool committed = result == proposal_result::Committed;
+        logEvent("worker_seen",
+            { { "worker", id }, { "condition", condition }, { "outcome", committed ? "committed" : "unknown" } });
+        done(committed ? call_result::Applied : call_result::Unknown);
+    });
 }
 
 void removeWorker(batch_controller& jobs, const std::string& id, call_result_callback done)
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -91,7 +91,8 @@
     bool mayStop = false;
     for (const auto& command : batch.commands)
         mayStop = mayStop || std::holds_alternative<batch::job_cancelled>(command)
-            || std::holds_alternative<batch::run_ended>(command);
+            || std::holds_alternative<batch::run_ended>(command)
+            || std::holds_alternative<batch::worker_crashed>(command);
     if (mayStop)
         stopEndedJobs();
     abortGangs(batch);
@@ -211,6 +212,16 @@
     });
 }
 
+void batch_controller::proposeReport(batch::worker_report report, command_queue::callback done)
+{
+    for (const auto number : batch::replacedWorkers(m_state, report)) {
+        const auto session = m_sessions.find(number);
+        if (session != m_sessions.end())
+            session->second->reportCrash();
+    }
+    propose(batch::worker_reported { std::move(report) }, std::move(done));
+}
+
 void batch_controller::becomeLeader(std::uint64_t term)
 {
     m_leading = true;
@@ -432,6 +443,11 @@
     for (const auto& command : batch.commands) {
         if (const auto* const ended = std::get_if<batch::run_ended>(&command))
             jobsWithEnds.insert(ended->run.task.job);
+        if (const auto* const crashed = std::get_if<batch::worker_crashed>(&command)) {
+            logCrash(*crashed);
+            for (const auto& run : crashed->runs)
+                jobsWithEnds.insert(run.task.job);
+        }
     }
     for (const auto& id : jobsWithEnds) {
         const auto* const job = batch::findJob(m_state, id);
@@ -445,6 +461,23 @@
     }
 }
 
+void batch_controller::logCrash(const batch::worker_crashed& crashed) const
+{
+    m_metrics->increment("chervilport_worker_crashes_total", {});
+    for (const auto& run : crashed.runs) {
+        const auto* const job = batch::findJob(m_state, run.task.job);
+        const auto* const record = batch::findCrashes(m_state.crashes, run.task);
+        // The records of a job are removed when it ends.
+        const bool isGivenUp = record == nullptr && job != nullptr && job->phase == batch::job_phase::Failed;
+        if (record == nullptr && !isGivenUp)
+            continue;
+        logEvent("crash_counted",
+            { { "run", batch::describe(run) }, { "crashes", record == nullptr ? 0 : record->crashes },
+                { "outcome", isGivenUp ? "given_up" : "retry" } },
+            log_level::Warning);
+    }
+}
+
 void batch_controller::startAssigned(const batch::command_batch& batch)
 {
     for (const auto& command : batch.commands) {
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -73,6 +73,9 @@
     /// Returns the metric registry of the process.
     metric_registry& metrics() const { return *m_metrics; }
 
+    /// Proposes a changed report of a worker, after the crash of each worker that it replaces; leader only.
+    void proposeReport(batch::worker_report, command_queue::callback);
+
     /// Proposes a command; leader only.
     void propose(batch::batch_command, command_queue::callback);
 
@@ -93,6 +96,7 @@
     void recordRunTimes(const batch::command_batch&);
     void logEndedWorkers(const batch::command_batch&) const;
     void logEndedWorker(batch::worker_number, const std::string& reason, std::int64_t timeMs) const;
+    void logCrash(const batch::worker_crashed&) const;
     void logEndedJobs(const batch::command_batch&) const;
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -32,6 +32,8 @@
     int attempts = 0;
     /// Whether a start request may have reached the worker.
     bool mayHaveArrived = false;
+    /// Whether the worker confirmed or reported that it executes the run.
+    bool hasRun = false;
     /// When the start was confirmed.
     log_time confirmedAt;
     /// Whether the run is to be stopped.
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace chervilport {
 
@@ -36,6 +37,17 @@
         return worker == nullptr ? "unknown" : worker->report.id;
     }
 
+    /// Returns the running and ended runs of a response.
+    std::set<batch::run_ref> runsIn(const poll_response& response)
+    {
+        std::set<batch::run_ref> runs;
+        for (const auto& reported : response.running)
+            runs.insert(reported.run);
+        for (const auto& reported : response.ended)
+            runs.insert(reported.run);
+        return runs;
+    }
+
     const char* nameOf(worker_reply reply)
     {
         switch (reply) {
@@ -205,6 +217,7 @@
     if (incarnation < m_incarnation)
         return;
     if (incarnation > m_incarnation) {
+        reconcileCrash(response);
         beginIncarnation(incarnation);
         reconcileEarlierIncarnation(response);
     }
@@ -216,6 +229,7 @@
                 { "ended", response.ended.size() } });
     m_polled = true;
     m_failedPolls = 0;
+    m_expiredRuns.clear();
     m_nextPoll = m_now;
     // Compare the reported runs and ends with the tracked runs.
     reconcileEnds(response);
@@ -248,15 +262,20 @@
     m_clock.leaseEnd = m_now + localLeaseTime(m_host.bounds.maxLease);
 }
 
+void worker_session::reconcileCrash(const poll_response& response)
+{
+    // The new incarnation accepted the start requests of the runs that it lists.
+    const auto listed = runsIn(response);
+    for (auto& [run, tracker] : m_runs)
+        tracker.hasRun = tracker.hasRun && !listed.contains(run);
+    reportCrash();
+}
+
 void worker_session::reconcileEarlierIncarnation(const poll_response& response)
 {
     if (response.result.clockMs)
         recordReading(m_clock, *response.result.clockMs, m_now);
-    std::set<batch::run_ref> listed;
-    for (const auto& reported : response.running)
-        listed.insert(reported.run);
-    for (const auto& reported : response.ended)
-        listed.insert(reported.run);
+    const auto listed = runsIn(response);
     for (auto& [run, tracker] : m_runs) {
         const bool neverSent = tracker.phase == start_phase::Unsent && !tracker.mayHaveArrived;
         if (tracker.endProposed || neverSent || listed.contains(run))
@@ -311,6 +330,7 @@
             continue;
         }
         auto& tracker = found->second;
+        tracker.hasRun = true;
         if (tracker.phase != start_phase::Confirmed)
             confirmStart(tracker);
         if (!reported.checkpoint.empty())
@@ -346,9 +366,28 @@
     if (m_failedPolls == 0 || m_runs.empty() || m_now <= m_clock.leaseEnd || !m_host.mayExecute())
         return;
     for (auto& [run, tracker] : m_runs) {
-        if (!tracker.endProposed)
-            proposeEnd(tracker, batch::run_end_kind::Lost);
+        if (tracker.endProposed)
+            continue;
+        if (tracker.hasRun)
+            m_expiredRuns.push_back(run);
+        proposeEnd(tracker, batch::run_end_kind::Lost);
+    }
+}
+
+void worker_session::reportCrash()
+{
+    auto runs = std::exchange(m_expiredRuns, {});
+    for (const auto& [run, tracker] : m_runs) {
+        if (tracker.hasRun && !tracker.endProposed)
+            runs.push_back(run);
     }
+    const auto* const worker = record();
+    // A draining worker has announced its end.
+    if (worker == nullptr || worker->report.draining || runs.empty() || !m_host.mayExecute())
+        return;
+    for (auto& [run, tracker] : m_runs)
+        tracker.hasRun = false;
+    m_host.propose(batch::worker_crashed { m_worker, std::move(runs) }, [](proposal_result) {});
 }
 
 void worker_session::sendStart(run_tracker& tracker)
@@ -392,6 +431,7 @@
     if (tracker.phase != start_phase::InFlight)
         return;
     if (result.reply == worker_reply::Done || result.reply == worker_reply::OutdatedRun) {
+        tracker.hasRun = result.reply == worker_reply::Done;
         confirmStart(tracker);
         if (!m_pollInFlight)
             poll();
@@ -530,6 +570,7 @@
     if (m_incarnationEnded)
         return;
     m_incarnationEnded = true;
+    reportCrash();
     logEvent("worker_life_ended", { { "worker", workerName(record()) }, { "reason", reason } }, log_level::Warning);
     m_host.propose(batch::worker_ended { m_worker }, [](proposal_result) {});
     m_host.changed();
--- a/chervilport/explain/job_facts.cpp
+++ b/chervilport/explain/job_facts.cpp
@@ -37,6 +37,8 @@
             facts.preemptedFor.emplace(valueOf(line, "for"));
             return;
         }
+        if (line.event == "crash_counted")
+            ++facts.crashes;
         if (line.event != "run_ended")
             return;
         const std::string kind(valueOf(line, "how"));
@@ -82,6 +84,8 @@
             text += "; runs were lost with " + join(facts.lostOn);
         if (!facts.failedOn.empty())
             text += "; runs failed on " + join(facts.failedOn);
+        if (facts.crashes > 0)
+            text += "; workers crashed under " + std::to_string(facts.crashes) + " runs";
         return text;
     }
 
--- a/chervilport/explain/job_facts.h
+++ b/chervilport/explain/job_facts.h
@@ -46,6 +46,8 @@
     std::set<std::string> failedOn;
     /// Workers whose runs were lost.
     std::set<std::string> lostOn;
+    /// Number of runs under which a worker crashed.
+    std::size_t crashes = 0;
     /// Jobs for which runs were preempted.
     std::set<std::string> preemptedFor;
     /// Number of preempted runs.
--- a/chervilport/scheduling/field_archive.cpp
+++ b/chervilport/scheduling/field_archive.cpp
@@ -94,6 +94,8 @@
     return static_cast<std::size_t>(count);
 }
 
+bool field_reader::hasMore() const { return m_fields->position < m_fields->values.size(); }
+
 void field_reader::finish() const
 {
     if (m_fields->position != m_fields->values.size())
--- a/chervilport/scheduling/field_archive.h
+++ b/chervilport/scheduling/field_archive.h
@@ -23,6 +23,8 @@
     void text(std::string& value);
     /// Writes the number of elements that follow and returns it.
     std::size_t size(std::size_t count);
+    /// Returns true: optional fields at the end are always written.
+    static bool hasMore() { return true; }
 
     /// Returns the encoded bytes.
     std::string bytes() const;
@@ -48,6 +50,8 @@
     void text(std::string& value);
     /// Reads and returns the number of elements that follow; at most the number of remaining fields.
     std::size_t size(std::size_t ignored);
+    /// Returns whether optional fields follow.
+    bool hasMore() const;
 
     /// Checks that no field remains.
     void finish() const;
--- a/tests/batch/batch_apply_test.cpp
+++ b/tests/batch/batch_apply_test.cpp
@@ -217,6 +217,9 @@
     site.submit(urgentQueue, { stepOf(2, 2) });
     site.pass();
     site.end(site.activeRuns(first).front().run, run_end_kind::Stopped, "saved");
+    const auto crashed = site.activeRuns(first).front();
+    site.apply(worker_crashed { crashed.worker, { crashed.run } });
+    cr_assert_eq(site.state().crashes.tasks.size(), 1);
     const auto bytes = encodeState(site.state());
     const auto restored = decodeState(bytes);
     cr_assert(encodeState(restored) == bytes);
--- /dev/null
+++ b/tests/batch/crash_history_test.cpp
@@ -0,0 +1,134 @@
+#include "chervilport/batch/crash_history.h"
+
+#include "chervilport/batch/batch_codec.h"
+#include "chervilport/batch/run_accounting.h"
+#include "tests/batch/fake_site.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace chervilport::batch;
+using namespace chervilport::batch_tests;
+
+namespace {
+
+run_ref runOf(const std::string& job, std::uint32_t run) { return { { job, 0, 0, 0 }, run }; }
+
+/// Records a crash at an address and returns whether the first run's task is given up.
+bool crash(crash_history& history, const std::vector<run_ref>& runs, bool isOfOneJob, const std::string& address)
+{
+    const auto givenUp = recordCrash(history, { address, runs, isOfOneJob, 1'000 });
+    return std::find(givenUp.begin(), givenUp.end(), runs.front().task) != givenUp.end();
+}
+
+} // namespace
+
+// Guards against a task that is given up after one crash, which any worker can have.
+Test(crashHistory, secondCrashUnderATaskAloneIsConclusive)
+{
+    crash_history history;
+    cr_assert(!crash(history, { runOf("a", 1) }, true, "x"));
+    cr_assert(crash(history, { runOf("a", 2) }, true, "y"));
+}
+
+// Guards against tasks that are given up for the crashes of a task beside them.
+Test(crashHistory, crashWithOtherJobsOnTheWorkerIsNotConclusive)
+{
+    crash_history history;
+    for (std::uint32_t run = 1; run <= 3; ++run)
+        cr_assert(!crash(history, { runOf("a", run), runOf("b", run) }, false, "x" + std::to_string(run)));
+    cr_assert(crash(history, { runOf("a", 4), runOf("b", 4) }, false, "x4"));
+}
+
+// Guards against a crash that counts twice when it is proposed again.
+Test(crashHistory, runCountsOnce)
+{
+    crash_history history;
+    cr_assert(!crash(history, { runOf("a", 1) }, true, "x"));
+    cr_assert(!crash(history, { runOf("a", 1) }, true, "y"));
+    cr_assert_eq(findCrashes(history, runOf("a", 1).task)->crashes, 1);
+}
+
+// Guards against addresses that are kept for ever.
+Test(crashHistory, addressIsForgotten)
+{
+    crash_history history;
+    const std::vector runs { runOf("a", 1) };
+    recordCrash(history, { "x", runs, true, 1'000 });
+    cr_assert(hasCrashedLately(history, "x", 61'000));
+    cr_assert(!hasCrashedLately(history, "x", 61'001));
+    const std::vector later { runOf("a", 2) };
+    recordCrash(history, { "y", later, true, 100'000 });
+    cr_assert_eq(history.addresses.size(), 1);
+}
+
+// Guards against records that outlive their job.
+Test(crashHistory, recordsEndWithTheJob)
+{
+    fake_site site;
+    site.addWorkers(2);
+    const auto id = site.submit(normalQueue, { stepOf(1, 8) });
+    site.pass();
+    const auto run = site.activeRuns(id).front();
+    site.apply(worker_crashed { run.worker, { run.run } });
+    cr_assert_eq(site.state().crashes.tasks.size(), 1);
+    site.end(run.run, run_end_kind::Lost);
+    site.pass();
+    site.endAll(id, run_end_kind::Done);
+    cr_assert(site.job(id).phase == job_phase::Completed);
+    cr_assert(site.state().crashes.tasks.empty());
+}
+
+// Guards against a task that is given up for a crash that may be the fault of a cancelled job on the same worker.
+Test(crashHistory, runOfACancelledJobMayBeTheCause)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto cancelled = site.submit(normalQueue, { stepOf(1, 1) });
+    const auto id = site.submit(normalQueue, { stepOf(1, 1) });
+    site.pass();
+    site.apply(job_cancelled { cancelled });
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        site.advance(70'000);
+        const auto active = site.activeRuns(id).front();
+        site.apply(worker_crashed { active.worker, { active.run } });
+        cr_assert(site.job(id).phase == job_phase::Active);
+        site.end(active.run, run_end_kind::Lost);
+        site.pass();
+    }
+}
+
+// Guards against a service that is given up for the crashes of workers in its long life.
+Test(crashHistory, longRunOfALongRunningTaskDoesNotCount)
+{
+    fake_site site;
+    site.addWorkers(2);
+    auto step = stepOf(1, 1);
+    step.longRunning = true;
+    const auto id = site.submit(normalQueue, { step });
+    for (int i = 0; i < 3; ++i) {
+        site.pass();
+        const auto active = site.activeRuns(id).front();
+        site.advance(61'000);
+        site.apply(worker_crashed { active.worker, { active.run } });
+        cr_assert(site.job(id).phase == job_phase::Active);
+        site.end(active.run, run_end_kind::Lost);
+    }
+    cr_assert(site.state().crashes.tasks.empty());
+}
+
+// Guards against a snapshot of an earlier version that can no longer be read.
+Test(crashHistory, snapshotWithoutCrashesIsRead)
+{
+    fake_site site;
+    site.addWorkers(1);
+    site.submit(normalQueue, { stepOf(1, 1) });
+    const auto bytes = encodeState(site.state());
+    // Remove the sizes of the two empty maps at the end, one CBOR byte each, from the array and from its length.
+    constexpr unsigned char arrayWithOneByteLength = 0x98;
+    auto earlier = bytes.substr(0, bytes.size() - 2);
+    cr_assert_eq(static_cast<unsigned char>(earlier[0]), arrayWithOneByteLength);
+    earlier[1] = static_cast<char>(earlier[1] - 2);
+    const auto restored = decodeState(earlier);
+    cr_assert(encodeState(restored) == bytes);
+}
--- a/tests/control/crash_loop_test.cpp
+++ b/tests/control/crash_loop_test.cpp
@@ -41,3 +41,18 @@
     cr_assert_lt(pool.startsOf(deadlyTask), endlessStarts);
     cr_assert(pool.job("deadly").phase == batch::job_phase::Failed);
 }
+
+// Guards against a task that is given up because its worker crashes by itself: a worker that has crashed lately does
+// not show that the task is the cause.
+Test(crashLoop, taskOnAWorkerThatCrashesByItselfIsKept)
+{
+    fake_pool pool(1);
+    pool.submit("job", 1, 8);
+    const batch::task_ref task { "job", 0, 0, 0 };
+    for (int starts = 1; starts <= 3; ++starts) {
+        cr_assert(pool.runUntil([&] { return pool.startsOf(task) == starts; }));
+        pool.crash(pool.workerOf(task));
+    }
+    cr_assert(pool.runUntil([&] { return pool.startsOf(task) == 4; }));
+    cr_assert(pool.job("job").phase == batch::job_phase::Active);
+}
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/instance/monotonic_now.h"
 #include "tests/control/fake_worker.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <criterion/criterion.h>
 #include <deque>
@@ -96,6 +97,33 @@
         return kinds;
     }
 
+    /// Starts the first run on a worker that then is silent until the lease of the run has expired. The next poll is
+    /// answered and shows that the run is gone.
+    std::shared_ptr<worker_session> loseRunOnSilentWorker()
+    {
+        assign(1);
+        worker.incarnation = 10;
+        worker.running = { { { { "job", 0, 0, 0 }, 1 }, "", 0 } };
+        worker.pollReplies = { worker_reply::Done, worker_reply::NoResponse, worker_reply::NoResponse };
+        const auto session = makeSession();
+        session->open();
+        runReady();
+        worker.heldPoll();
+        runReady();
+        session->tick(monotonicNow() + 60s);
+        runReady();
+        cr_assert_eq(ends().size(), 1);
+        worker.pollReplies.clear();
+        worker.running.clear();
+        return session;
+    }
+
+    std::size_t crashes() const
+    {
+        return static_cast<std::size_t>(std::count_if(proposed.begin(), proposed.end(),
+            [](const auto& command) { return std::holds_alternative<batch::worker_crashed>(command); }));
+    }
+
     asio::io_context context;
     fake_worker worker;
     worker_client client;
@@ -453,3 +481,76 @@
     cr_assert_eq(fixture.worker.starts.size(), 1);
     cr_assert_leq(fixture.worker.starts.front().leaseUntilMs, 50 + 10'000);
 }
+
+// Guards against a crash that is not counted because the lease of the run expired before the worker was back.
+Test(workerSession, crashOfASilentWorkerIsReportedWhenItIsBack)
+{
+    session_fixture fixture;
+    const auto session = fixture.loseRunOnSilentWorker();
+    cr_assert_eq(fixture.crashes(), 0);
+    fixture.worker.incarnation = 99;
+    session->tick(monotonicNow() + 61s);
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 1);
+}
+
+// Guards against a worker that was only silent for a while and is taken to have crashed.
+Test(workerSession, silentWorkerHasNotCrashed)
+{
+    session_fixture fixture;
+    const auto session = fixture.loseRunOnSilentWorker();
+    session->tick(monotonicNow() + 61s);
+    fixture.runReady();
+    session->reportCrash();
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 0);
+}
+
+// Guards against a crash that is counted for a run whose start request the new incarnation accepted.
+Test(workerSession, runOfTheNewIncarnationHasNotCrashed)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.incarnation = 10;
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    cr_assert(session->hasStarted(firstRun));
+    fixture.worker.incarnation = 99;
+    fixture.worker.running = { { firstRun, "", 0 } };
+    fixture.worker.heldPoll();
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 0);
+}
+
+// Guards against a crash that is counted for a run that may never have started.
+Test(workerSession, unconfirmedRunDoesNotCountAsCrashed)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.startReplies = { worker_reply::NoResponse };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    session->reportCrash();
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 0);
+}
+
+// Guards against the end of a worker that had announced it and is counted as a crash.
+Test(workerSession, endOfADrainingWorkerIsNoCrash)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.running = { { firstRun, "", 0 } };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    auto report = fixture.state.workers.begin()->second.report;
+    report.draining = true;
+    report.sequence = 2;
+    fixture.apply(batch::worker_reported { report });
+    session->reportCrash();
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 0);
+}
--- a/tests/explain/job_timeline_test.cpp
+++ b/tests/explain/job_timeline_test.cpp
@@ -137,6 +137,22 @@
     cr_assert(isMissing(timeline, "3 lines"));
 }
 
+// Guards against a conclusion that does not tell a job that was given up because it crashes workers from one whose runs
+// failed.
+Test(jobTimeline, crashesOfWorkersAreNamed)
+{
+    const auto timeline = buildTimeline(
+        linesOf({ "core-1 2026-12-04T09:00:00.110 INFO event=job_accepted job=ea59a8795f5cb20e outcome=committed",
+            "core-1 2026-12-04T09:00:01.000 WARNING event=crash_counted run=ea59a8795f5cb20e.0.0.0#1 crashes=1 "
+            "outcome=retry",
+            "core-1 2026-12-04T09:00:02.000 WARNING event=crash_counted run=ea59a8795f5cb20e.0.0.0#2 crashes=0 "
+            "outcome=given_up",
+            "core-1 2026-12-04T09:00:02.010 INFO event=job_ended job=ea59a8795f5cb20e queue=q phase=failed "
+            "age_ms=1900" }),
+        job);
+    assertConclusion(timeline, "failed after 1900 ms; workers crashed under 2 runs");
+}
+
 // Guards against one entry per run when a job with many tasks starts.
 Test(jobTimeline, equalLinesAreOneEntry)
 {
