--- a/chervilport/batch/gang_reservation.cpp
+++ b/chervilport/batch/gang_reservation.cpp
@@ -68,7 +68,8 @@
     std::map<std::string, std::vector<std::size_t>> byRack;
     for (std::size_t i = 0; i < slots.size(); ++i) {
         const auto& slot = slots[i];
-        if (!slot.isUsable || !slot.reservedFor.empty() || !isEligible(slot, ready, service))
+        if (!slot.isUsable || !slot.reservedFor.empty() || !slot.isolatedFor.empty()
+            || !isEligible(slot, ready, service))
             continue;
         const auto& rack = slot.worker->report.rack;
         if (!spec.dataRack.empty() && rack != spec.dataRack)
--- a/chervilport/batch/preemption.cpp
+++ b/chervilport/batch/preemption.cpp
@@ -112,8 +112,7 @@
         std::vector<candidate_slot> candidates;
         for (std::size_t i = 0; i < slots.size(); ++i) {
             const auto& slot = slots[i];
-            const bool isReserved = !slot.reservedFor.empty() && slot.reservedFor != ready.job->request.id;
-            if (!slot.isUsable || isReserved || !isEligible(slot, ready, service))
+            if (!slot.isUsable || isReservedForOther(slot, ready) || !isEligible(slot, ready, service))
                 continue;
             candidates.push_back({ i, slot.free, slot.releasing, byWorker[slot.worker->number] });
         }
--- a/chervilport/batch/ready_step.h
+++ b/chervilport/batch/ready_step.h
@@ -24,6 +24,10 @@
     std::int64_t jobDueMs = 0;
     /// Whether the step may use workers that are reserved for urgent jobs; set by the pass.
     bool mayUseUrgentReservation = false;
+    /// Whether a worker has crashed under the tasks, so that they may be the cause; set by the pass.
+    bool isSuspect = false;
+    /// Whether the tasks may be placed only on workers without runs of other jobs; set by the pass.
+    bool needsEmptyWorker = false;
 };
 
 /// Returns the specification of the step.
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -6,6 +6,7 @@
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/batch/suspect_isolation.h"
 #include "chervilport/batch/worker_slot.h"
 
 #include <algorithm>
@@ -46,7 +47,7 @@
     };
 
     worker_slots makeSlots(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
-        const scheduler_state& schedulerState)
+        const scheduler_state& schedulerState, std::int64_t nowMs)
     {
         worker_slots slots;
         for (const auto& [number, worker] : state.workers) {
@@ -54,6 +55,8 @@
             worker_slot slot;
             slot.worker = &worker;
             slot.free = freeCapacityOf(worker);
+            slot.runs = worker.activeRuns;
+            slot.hasCrashedLately = hasCrashedLately(state.crashes, worker.report.address, nowMs);
             if (condition != conditions.end()) {
                 slot.isUsable = condition->second.isUsable && !worker.report.draining;
                 slot.failureWeight = condition->second.failureWeight;
@@ -63,6 +66,7 @@
                 slot.reservedFor = reservation->second.job;
             slots.push_back(std::move(slot));
         }
+        isolateSuspects(slots, state, nowMs);
         return slots;
     }
 
@@ -95,7 +99,8 @@
     std::vector<ranked_step> rankReadySteps(const pass& current)
     {
         std::vector<ranked_step> ranked;
-        for (auto& each : listReadySteps(current.state, current.nowMs)) {
+        for (auto& each : separateSuspects(
+                 listReadySteps(current.state, current.nowMs), current.state, current.slots, current.nowMs)) {
             const bool hasWaited = current.nowMs - each.jobDueMs > urgentReservationWaitMs;
             each.mayUseUrgentReservation = each.job->priority == guaranteedPriority || (current.isIdle && hasWaited)
                 || (current.bounds.maxStopMs <= maxFillerStopMs && specOf(each).checkpointing
@@ -147,7 +152,11 @@
     void assign(pass& current, const ready_step& ready, const placed_task& placed)
     {
         const task_ref task { ready.job->request.id, ready.occurrence, ready.step, placed.index };
-        const auto worker = current.slots[placed.slot].worker->number;
+        auto& slot = current.slots[placed.slot];
+        ++slot.runs;
+        if (ready.isSuspect)
+            slot.isolatedFor = ready.job->request.id;
+        const auto worker = slot.worker->number;
         current.result.assigned.push_back({ { task, nextRun(ready, placed.index) }, worker });
     }
 
@@ -209,7 +218,7 @@
     // Prepare the slots and the reservations for urgent jobs.
     removeExpired(state, schedulerState, nowMs);
     pass current { state, schedulerState, bounds, nowMs, guaranteedJobs(state, schedulerState.estimates, nowMs),
-        makeSlots(state, conditions, schedulerState) };
+        makeSlots(state, conditions, schedulerState, nowMs) };
     current.isIdle = isMostlyIdle(current.slots);
     reserveForUrgent(
         current.slots, addDemandSample(schedulerState.urgentDemand, urgentDemand(state, current.slots), nowMs));
@@ -222,7 +231,7 @@
     for (auto& [each, isGuaranteed, status, risk] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
         const bool isUrgent = each.job->priority == guaranteedPriority && status == objective_status::OnTime;
-        const bool mayPreempt = isGuaranteed || isUrgent;
+        const bool mayPreempt = (isGuaranteed || isUrgent) && !each.needsEmptyWorker;
         const bool mayReserve = !isGuaranteed && specOf(each).gang && status != objective_status::Expired;
         if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
             if (mayReserve)
--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace chervilport::batch {
 
@@ -21,19 +22,18 @@
         return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
     }
 
-    bool isReservedForOther(const worker_slot& slot, const ready_step& ready)
-    {
-        return !slot.reservedFor.empty() && slot.reservedFor != ready.job->request.id;
-    }
+    /// Rank of a worker; lower is better.
+    using worker_rank = std::tuple<bool, std::uint32_t, std::int32_t, bool, std::int64_t, std::int64_t, std::int64_t>;
 
-    /// Returns the rank of a worker; lower is better. Healthy workers come first, then workers that are reserved for
-    /// urgent jobs: only steps that may use them are ranked on them, and this leaves the other workers to the other
-    /// jobs. Then comes the tightest fit, so that empty workers stay available for large tasks.
-    auto rankOf(const worker_slot& slot, const resource_demand& demand)
+    /// Returns the rank of a worker. For suspect tasks, workers that have not crashed and those with the fewest runs
+    /// come first. Then come healthy workers, then workers that are reserved for urgent jobs: only steps that may use
+    /// them are ranked on them, and this leaves the other workers to the other jobs. Then comes the tightest fit, so
+    /// that empty workers stay available for large tasks.
+    worker_rank rankOf(const worker_slot& slot, const resource_demand& demand, bool isSuspect)
     {
         const auto remaining = subtract(slot.free, demand);
-        return std::tuple(slot.failureWeight, !slot.reservedForUrgent, remaining.accelerators, remaining.milliCores,
-            remaining.memoryMb);
+        return { isSuspect && slot.hasCrashedLately, isSuspect ? slot.runs : 0, slot.failureWeight,
+            !slot.reservedForUrgent, remaining.accelerators, remaining.milliCores, remaining.memoryMb };
     }
 
     std::optional<std::size_t> chooseSlot(
@@ -55,7 +55,8 @@
                 if (found != runs.end() && found->second >= spec.maxPerWorker)
                     continue;
             }
-            if (!best || rankOf(slot, demand) < rankOf(slots[*best], demand))
+            const bool isSuspect = limits.ready->isSuspect;
+            if (!best || rankOf(slot, demand, isSuspect) < rankOf(slots[*best], demand, isSuspect))
                 best = i;
         }
         return best;
@@ -126,6 +127,28 @@
 
 } // namespace
 
+const worker_slot* findSlot(const worker_slots& slots, worker_number number)
+{
+    const auto found = std::lower_bound(slots.begin(), slots.end(), number,
+        [](const worker_slot& slot, worker_number wanted) { return slot.worker->number < wanted; });
+    return found != slots.end() && found->worker->number == number ? &*found : nullptr;
+}
+
+worker_slot* findSlot(worker_slots& slots, worker_number number)
+{
+    return const_cast<worker_slot*>(findSlot(std::as_const(slots), number));
+}
+
+bool isReservedForOther(const worker_slot& slot, const ready_step& ready)
+{
+    const auto& job = ready.job->request.id;
+    if (!slot.reservedFor.empty() && slot.reservedFor != job)
+        return true;
+    if (!slot.isolatedFor.empty())
+        return slot.isolatedFor != job;
+    return ready.needsEmptyWorker && slot.runs > 0;
+}
+
 bool isEligible(const worker_slot& slot, const ready_step& ready, const std::string& service)
 {
     const auto& report = slot.worker->report;
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -27,11 +27,26 @@
     bool reservedForUrgent = false;
     /// Job that the worker is reserved for; empty for none.
     std::string reservedFor;
+    /// Job whose suspect tasks are tried there; empty for none.
+    std::string isolatedFor;
+    /// Whether a worker crashed at the address of this one lately.
+    bool hasCrashedLately = false;
+    /// Number of active runs and of tasks that this pass has placed.
+    std::uint32_t runs = 0;
 };
 
 /// All workers of a pass.
 using worker_slots = std::vector<worker_slot>;
 
+/// Returns the slot of a worker, or null; the slots are in the order of worker numbers.
+const worker_slot* findSlot(const worker_slots&, worker_number);
+
+/// Returns the slot of a worker, or null; the slots are in the order of worker numbers.
+worker_slot* findSlot(worker_slots&, worker_number);
+
+/// Returns whether the worker is reserved for another job than that of the step, or may not be shared with it.
+bool isReservedForOther(const worker_slot&, const ready_step&);
+
 /// Returns whether a step may run on a worker, regardless of its free capacity and of reservations for single jobs.
 bool isEligible(const worker_slot&, const ready_step&, const std::string& service);
 
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -94,6 +94,7 @@
         site.apply(worker_crashed { active.worker, { active.run } });
         cr_assert(site.job(id).phase == job_phase::Active);
         site.end(active.run, run_end_kind::Lost);
+        site.advance(2'000);
         site.pass();
     }
 }
--- a/tests/control/crash_loop_test.cpp
+++ b/tests/control/crash_loop_test.cpp
@@ -56,3 +56,19 @@
     cr_assert(pool.runUntil([&] { return pool.startsOf(task) == 4; }));
     cr_assert(pool.job("job").phase == batch::job_phase::Active);
 }
+
+// Guards against tasks that are given up with the deadly task because they are placed beside it again after each crash.
+Test(crashLoop, tasksBesideADeadlyOneAreKept)
+{
+    fake_pool pool(workers);
+    pool.makeDeadly(deadlyTask);
+    pool.submit("beside", 1, 2);
+    pool.submit("other", 1, 2);
+    pool.submit("deadly", 1, 2);
+    cr_assert(pool.runUntil([&] { return hasEnded(pool); }));
+    cr_assert(pool.job("deadly").phase == batch::job_phase::Failed);
+    cr_assert(pool.job("beside").phase == batch::job_phase::Active);
+    cr_assert(pool.job("other").phase == batch::job_phase::Active);
+    // The first crash is under all of them, and the second one under the deadly task alone.
+    cr_assert_eq(pool.startsOf(deadlyTask), 2);
+}
