--- a/tests/batch/site_rules_test.cpp
+++ b/tests/batch/site_rules_test.cpp
@@ -104,3 +104,27 @@
     cr_assert_float_eq(addDemandSample(window, 1, 8'000), 9, 0.01);
     cr_assert_float_eq(addDemandSample(window, 2, 30'000), 2, 0.01);
 }
+
+// Guards against a start on a worker whose capacity has shrunk below what runs there, and against one that stays small
+// after it has grown again.
+Test(siteRules, shrunkCapacityTakesNoRuns)
+{
+    fake_site site;
+    auto report = reportOf("w", "10.0.0.1:80", 1);
+    site.addWorkers(0);
+    site.apply(worker_reported { report });
+    site.conditions[site.state().workers.begin()->first] = { true, 0 };
+    site.submit(normalQueue, { stepOf(6, 1) });
+    cr_assert_eq(site.pass().assigned.size(), 6);
+    report.sequence = 2;
+    report.capacity.accelerators = 4;
+    cr_assert(changesWorker(site.state(), report));
+    site.apply(worker_reported { report });
+    const auto urgent = site.submit(urgentQueue, { stepOf(1, 1) });
+    cr_assert(site.pass().assigned.empty());
+    report.sequence = 3;
+    report.capacity.accelerators = 8;
+    site.apply(worker_reported { report });
+    cr_assert_eq(site.pass().assigned.size(), 1);
+    cr_assert_eq(site.activeRuns(urgent).size(), 1);
+}
