--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -154,6 +154,8 @@
         const task_ref task { ready.job->request.id, ready.occurrence, ready.step, placed.index };
         auto& slot = current.slots[placed.slot];
         ++slot.runs;
+        if (specOf(ready).maxPerWorker > 0)
+            slot.limitedTasks.push_back(task);
         if (ready.isSuspect)
             slot.isolatedFor = ready.job->request.id;
         const auto worker = slot.worker->number;
--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -36,6 +36,16 @@
             !slot.reservedForUrgent, remaining.accelerators, remaining.milliCores, remaining.memoryMb };
     }
 
+    /// Returns the number of tasks of the step that this pass has placed on a worker for another part of the step.
+    std::uint32_t countPlaced(const worker_slot& slot, const ready_step& ready)
+    {
+        return static_cast<std::uint32_t>(
+            std::count_if(slot.limitedTasks.begin(), slot.limitedTasks.end(), [&](const task_ref& task) {
+                return task.job == ready.job->request.id && task.occurrence == ready.occurrence
+                    && task.step == ready.step;
+            }));
+    }
+
     std::optional<std::size_t> chooseSlot(
         const worker_slots& slots, const placement_limits& limits, const std::map<worker_number, std::uint32_t>& runs)
     {
@@ -52,7 +62,8 @@
                 continue;
             if (spec.maxPerWorker > 0) {
                 const auto found = runs.find(slot.worker->number);
-                if (found != runs.end() && found->second >= spec.maxPerWorker)
+                const auto active = found == runs.end() ? 0 : found->second;
+                if (active + countPlaced(slot, *limits.ready) >= spec.maxPerWorker)
                     continue;
             }
             const bool isSuspect = limits.ready->isSuspect;
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -33,6 +33,8 @@
     bool hasCrashedLately = false;
     /// Number of active runs and of tasks that this pass has placed.
     std::uint32_t runs = 0;
+    /// Tasks that this pass has placed there and that have a limit per worker.
+    std::vector<task_ref> limitedTasks;
 };
 
 /// All workers of a pass.
--- a/tests/batch/suspect_isolation_test.cpp
+++ b/tests/batch/suspect_isolation_test.cpp
@@ -141,3 +141,20 @@
     site.advance(-60'000);
     cr_assert_eq(site.pass().assigned.size(), 1);
 }
+
+// Guards against more tasks of a step on a worker than the step allows: its suspect tasks are placed as a step of
+// their own, after the others.
+Test(suspectIsolation, suspectTasksCountTowardsTheLimitPerWorker)
+{
+    fake_site site;
+    site.addWorkers(1);
+    auto step = stepOf(2, 4);
+    step.maxPerWorker = 1;
+    const auto id = site.submit(normalQueue, { step });
+    cr_assert_eq(site.pass().assigned.size(), 1);
+    site.conditions[site.activeRuns(id).front().worker].isUsable = false;
+    crashUnder(site, id);
+    site.advance(2'000);
+    site.conditions.begin()->second.isUsable = true;
+    cr_assert_eq(site.pass().assigned.size(), 1);
+}
