--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -231,23 +231,33 @@
     /// Returns whether all suspicious runs on the worker, started or not, belong to the job of the first of `runs`.
     bool isOfOneJob(const batch_state& state, worker_number worker, std::span<const run_ref> runs)
     {
+        if (runs.empty())
+            return false;
         auto candidates = runsOn(state, worker);
         candidates.insert(candidates.end(), runs.begin(), runs.end());
         return std::all_of(candidates.begin(), candidates.end(),
             [&](const run_ref& run) { return run.task.job == runs.front().task.job || !isSuspicious(state, run); });
     }
 
-    void apply(batch_state& state, const worker_crashed& command)
+    /// Returns the suspicious runs of active jobs.
+    std::vector<run_ref> suspiciousRuns(const batch_state& state, std::span<const run_ref> runs)
     {
-        const auto* const worker = findWorker(state, command.worker);
-        std::vector<run_ref> runs;
-        std::copy_if(command.runs.begin(), command.runs.end(), std::back_inserter(runs), [&](const run_ref& run) {
+        std::vector<run_ref> suspicious;
+        std::copy_if(runs.begin(), runs.end(), std::back_inserter(suspicious), [&](const run_ref& run) {
             const auto* const job = findJob(state, run.task.job);
             return job != nullptr && job->phase == job_phase::Active && isSuspicious(state, run);
         });
-        if (worker == nullptr || runs.empty())
+        return suspicious;
+    }
+
+    void apply(batch_state& state, const worker_crashed& command)
+    {
+        const auto* const worker = findWorker(state, command.worker);
+        const auto runs = suspiciousRuns(state, command.runs);
+        const auto unconfirmed = suspiciousRuns(state, command.unconfirmedRuns);
+        if (worker == nullptr || (runs.empty() && unconfirmed.empty()))
             return;
-        const worker_crash crash { worker->report.address, runs, isOfOneJob(state, command.worker, runs),
+        const worker_crash crash { worker->report.address, runs, unconfirmed, isOfOneJob(state, command.worker, runs),
             state.timeMs };
         for (const auto& task : recordCrash(state.crashes, crash)) {
             auto& job = state.jobs.at(task.job);
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -137,12 +137,12 @@
 
 template <typename Archive> void visitFields(Archive& archive, worker_crashed& value)
 {
-    visitEach(archive, value.worker, value.runs);
+    visitEach(archive, value.worker, value.runs, value.unconfirmedRuns);
 }
 
 template <typename Archive> void visitFields(Archive& archive, crash_record& value)
 {
-    visitEach(archive, value.crashes, value.lastRun, value.lastMs);
+    visitEach(archive, value.crashes, value.unconfirmedCrashes, value.lastRun, value.lastMs);
 }
 
 template <typename Archive> void visitFields(Archive& archive, crash_history& value)
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -76,6 +76,8 @@
     worker_number worker = noWorker;
     /// Runs that the worker was known to execute.
     std::vector<run_ref> runs;
+    /// Runs that the worker may have executed: their start request may have reached it, and it confirmed none.
+    std::vector<run_ref> unconfirmedRuns;
 };
 
 /// Replaces the configuration if its version is higher.
--- a/chervilport/batch/crash_history.h
+++ b/chervilport/batch/crash_history.h
@@ -13,8 +13,10 @@
 
 /// Crashes of workers under the runs of one task.
 struct crash_record {
-    /// Number of runs under which a worker crashed.
+    /// Number of runs that a worker was known to execute when it crashed.
     std::uint32_t crashes = 0;
+    /// Number of runs that a worker may have executed when it crashed.
+    std::uint32_t unconfirmedCrashes = 0;
     /// Number of the last such run.
     std::uint32_t lastRun = 0;
     /// Time of the last crash, Unix milliseconds.
@@ -35,6 +37,8 @@
     std::string_view address;
     /// Runs that the worker was known to execute.
     std::span<const run_ref> runs;
+    /// Runs that it may have executed.
+    std::span<const run_ref> unconfirmedRuns;
     /// Whether all runs that the worker may have executed belonged to one job.
     bool isOfOneJob = false;
     /// Time of the crash, Unix milliseconds.
@@ -45,7 +49,8 @@
 ///
 /// A second crash suffices when it points to one job: no run of another job was on the worker, and no other worker had
 /// crashed at the address lately. Otherwise the other runs or the machine can be the cause, and the task is given up
-/// only after four crashes.
+/// only after four crashes. Unconfirmed ones count among the four: a task may crash its worker before the worker has
+/// responded to the start request.
 std::vector<task_ref> recordCrash(crash_history&, const worker_crash&);
 
 /// Returns the record of a task, or null when no worker has crashed under it.
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -444,8 +444,14 @@
         if (const auto* const ended = std::get_if<batch::run_ended>(&command))
             jobsWithEnds.insert(ended->run.task.job);
         if (const auto* const crashed = std::get_if<batch::worker_crashed>(&command)) {
-            logCrash(*crashed);
+            m_metrics->increment("chervilport_worker_crashes_total", {});
             for (const auto& run : crashed->runs)
+                logCrashedRun(run, true);
+            for (const auto& run : crashed->unconfirmedRuns)
+                logCrashedRun(run, false);
+            for (const auto& run : crashed->runs)
+                jobsWithEnds.insert(run.task.job);
+            for (const auto& run : crashed->unconfirmedRuns)
                 jobsWithEnds.insert(run.task.job);
         }
     }
@@ -461,21 +467,20 @@
     }
 }
 
-void batch_controller::logCrash(const batch::worker_crashed& crashed) const
+void batch_controller::logCrashedRun(const batch::run_ref& run, bool isConfirmed) const
 {
-    m_metrics->increment("chervilport_worker_crashes_total", {});
-    for (const auto& run : crashed.runs) {
-        const auto* const job = batch::findJob(m_state, run.task.job);
-        const auto* const record = batch::findCrashes(m_state.crashes, run.task);
-        // The records of a job are removed when it ends.
-        const bool isGivenUp = record == nullptr && job != nullptr && job->phase == batch::job_phase::Failed;
-        if (record == nullptr && !isGivenUp)
-            continue;
-        logEvent("crash_counted",
-            { { "run", batch::describe(run) }, { "crashes", record == nullptr ? 0 : record->crashes },
-                { "outcome", isGivenUp ? "given_up" : "retry" } },
-            log_level::Warning);
-    }
+    const auto* const job = batch::findJob(m_state, run.task.job);
+    const auto* const record = batch::findCrashes(m_state.crashes, run.task);
+    // The records of a job are removed when it ends.
+    const bool isGivenUp = record == nullptr && job != nullptr && job->phase == batch::job_phase::Failed;
+    if (record == nullptr && !isGivenUp)
+        return;
+    logEvent("crash_counted",
+        { { "run", batch::describe(run) }, { "confirmed", isConfirmed ? "true" : "false" },
+            { "crashes", record == nullptr ? 0 : record->crashes },
+            { "unconfirmed", record == nullptr ? 0 : record->unconfirmedCrashes },
+            { "outcome", isGivenUp ? "given_up" : "retry" } },
+        log_level::Warning);
 }
 
 void batch_controller::startAssigned(const batch::command_batch& batch)
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -96,7 +96,7 @@
     void recordRunTimes(const batch::command_batch&);
     void logEndedWorkers(const batch::command_batch&) const;
     void logEndedWorker(batch::worker_number, const std::string& reason, std::int64_t timeMs) const;
-    void logCrash(const batch::worker_crashed&) const;
+    void logCrashedRun(const batch::run_ref&, bool isConfirmed) const;
     void logEndedJobs(const batch::command_batch&) const;
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -48,6 +48,17 @@
         return runs;
     }
 
+    /// Adds a run to the suspects of a crash of its worker if the worker executed it or may have done so.
+    void addSuspect(batch::worker_crashed& crash, const run_tracker& tracker)
+    {
+        const bool isUnconfirmed = tracker.phase != start_phase::Confirmed && !tracker.stopConfirmed
+            && (tracker.mayHaveArrived || tracker.phase == start_phase::InFlight);
+        if (tracker.hasRun)
+            crash.runs.push_back(tracker.run);
+        else if (isUnconfirmed)
+            crash.unconfirmedRuns.push_back(tracker.run);
+    }
+
     const char* nameOf(worker_reply reply)
     {
         switch (reply) {
@@ -217,7 +228,8 @@
     if (incarnation < m_incarnation)
         return;
     if (incarnation > m_incarnation) {
-        reconcileCrash(response);
+        // The new incarnation accepted the start requests of the runs that it lists.
+        proposeCrash(runsIn(response));
         beginIncarnation(incarnation);
         reconcileEarlierIncarnation(response);
     }
@@ -229,7 +241,7 @@
                 { "ended", response.ended.size() } });
     m_polled = true;
     m_failedPolls = 0;
-    m_expiredRuns.clear();
+    m_expiredRuns = {};
     m_nextPoll = m_now;
     // Compare the reported runs and ends with the tracked runs.
     reconcileEnds(response);
@@ -262,15 +274,6 @@
     m_clock.leaseEnd = m_now + localLeaseTime(m_host.bounds.maxLease);
 }
 
-void worker_session::reconcileCrash(const poll_response& response)
-{
-    // The new incarnation accepted the start requests of the runs that it lists.
-    const auto listed = runsIn(response);
-    for (auto& [run, tracker] : m_runs)
-        tracker.hasRun = tracker.hasRun && !listed.contains(run);
-    reportCrash();
-}
-
 void worker_session::reconcileEarlierIncarnation(const poll_response& response)
 {
     if (response.result.clockMs)
@@ -368,26 +371,29 @@
     for (auto& [run, tracker] : m_runs) {
         if (tracker.endProposed)
             continue;
-        if (tracker.hasRun)
-            m_expiredRuns.push_back(run);
+        addSuspect(m_expiredRuns, tracker);
         proposeEnd(tracker, batch::run_end_kind::Lost);
     }
 }
 
-void worker_session::reportCrash()
+void worker_session::reportCrash() { proposeCrash({}); }
+
+void worker_session::proposeCrash(const std::set<batch::run_ref>& executedSince)
 {
-    auto runs = std::exchange(m_expiredRuns, {});
+    auto crash = std::exchange(m_expiredRuns, {});
+    crash.worker = m_worker;
     for (const auto& [run, tracker] : m_runs) {
-        if (tracker.hasRun && !tracker.endProposed)
-            runs.push_back(run);
+        if (!tracker.endProposed && !executedSince.contains(run))
+            addSuspect(crash, tracker);
     }
     const auto* const worker = record();
+    const bool isEmpty = crash.runs.empty() && crash.unconfirmedRuns.empty();
     // A draining worker has announced its end.
-    if (worker == nullptr || worker->report.draining || runs.empty() || !m_host.mayExecute())
+    if (worker == nullptr || worker->report.draining || isEmpty || !m_host.mayExecute())
         return;
     for (auto& [run, tracker] : m_runs)
         tracker.hasRun = false;
-    m_host.propose(batch::worker_crashed { m_worker, std::move(runs) }, [](proposal_result) {});
+    m_host.propose(std::move(crash), [](proposal_result) {});
 }
 
 void worker_session::sendStart(run_tracker& tracker)
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -7,7 +7,7 @@
 
 #include <map>
 #include <memory>
-#include <vector>
+#include <set>
 
 namespace chervilport {
 
@@ -38,8 +38,8 @@
     /// the backoff after an unhealthy response is over.
     bool isUsable() const { return m_polled && m_failedPolls == 0 && m_unhealthyUntil <= m_now; }
 
-    /// Proposes to record a crash of the worker under the runs that it was known to execute, unless the worker was
-    /// draining. Called when its incarnation has ended.
+    /// Proposes to record a crash of the worker under the runs that it executed or may have executed, unless the worker
+    /// was draining. Called when its incarnation has ended.
     void reportCrash();
 
     /// Processes timeouts: retries requests without a response and ends runs whose lease has expired.
@@ -53,7 +53,7 @@
     void handleFailedPoll(const worker_result&);
     void recordResult(const worker_result&);
     bool hasRestarted() const;
-    void reconcileCrash(const poll_response&);
+    void proposeCrash(const std::set<batch::run_ref>& executedSince);
     void beginIncarnation(std::int64_t incarnation);
     void reconcileEarlierIncarnation(const poll_response&);
     void reconcileEnds(const poll_response&);
@@ -78,7 +78,7 @@
     std::int64_t m_incarnation = 0;
     std::map<batch::run_ref, run_tracker> m_runs;
     /// Runs whose lease expired on the silent worker. They count when it turns out that the worker has crashed.
-    std::vector<batch::run_ref> m_expiredRuns;
+    batch::worker_crashed m_expiredRuns;
     log_time m_now;
     log_time m_nextPoll;
     log_time m_unhealthyUntil;
--- a/tests/control/crash_loop_test.cpp
+++ b/tests/control/crash_loop_test.cpp
@@ -72,3 +72,15 @@
     // The first crash is under all of them, and the second one under the deadly task alone.
     cr_assert_eq(pool.startsOf(deadlyTask), 2);
 }
+
+// Guards against a task that crashes one worker after the other because its start requests never have a response, so
+// that no worker is known to have executed it.
+Test(crashLoop, taskThatCrashesWorkersBeforeTheyRespondIsGivenUp)
+{
+    fake_pool pool(workers);
+    pool.makeDeadlyBeforeResponse(deadlyTask);
+    pool.submit("deadly", 1, 8);
+    pool.runUntil([&] { return hasEnded(pool) || pool.startsOf(deadlyTask) >= endlessStarts; });
+    cr_assert_lt(pool.startsOf(deadlyTask), endlessStarts);
+    cr_assert(pool.job("deadly").phase == batch::job_phase::Failed);
+}
--- a/tests/control/fake_pool.cpp
+++ b/tests/control/fake_pool.cpp
@@ -160,7 +160,11 @@
                        const std::function<void(worker_result)>& done) {
         m_starts.push_back(request);
         m_startedOn.push_back(target.id);
+        if (m_deadlyBeforeResponse.contains(request.run.task))
+            crash(target.id);
         reply(target.id, done);
+        if (!m_workers.at(target.id)->isAlive)
+            return;
         m_workers.at(target.id)->running.push_back({ request.run, {}, 0 });
         if (m_deadly.contains(request.run.task))
             asio::post(m_context, [this, id = target.id] { crash(id); });
--- a/tests/control/fake_pool.h
+++ b/tests/control/fake_pool.h
@@ -31,6 +31,9 @@
     /// Makes a task crash each worker that starts it.
     void makeDeadly(const batch::task_ref& task) { m_deadly.insert(task); }
 
+    /// Makes a task crash each worker that starts it before the worker has responded to the start request.
+    void makeDeadlyBeforeResponse(const batch::task_ref& task) { m_deadlyBeforeResponse.insert(task); }
+
     /// Runs the leader until the condition holds. Returns whether it did so within `maxTurns` turns of the event loop.
     bool runUntil(const std::function<bool()>& condition);
 
@@ -60,6 +63,7 @@
     asio::io_context m_context;
     std::map<std::string, std::unique_ptr<worker>> m_workers;
     std::set<batch::task_ref> m_deadly;
+    std::set<batch::task_ref> m_deadlyBeforeResponse;
     std::vector<start_request> m_starts;
     std::vector<std::string> m_startedOn;
     std::vector<int> m_crashed;
