--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -49,6 +49,7 @@
     worker_slots makeSlots(const batch_state& state, const std::map<worker_number, worker_condition>& conditions,
         const scheduler_state& schedulerState, std::int64_t nowMs)
     {
+        const auto classes = speedClasses(schedulerState.speeds);
         worker_slots slots;
         for (const auto& [number, worker] : state.workers) {
             const auto condition = conditions.find(number);
@@ -56,6 +57,9 @@
             slot.worker = &worker;
             slot.free = freeCapacityOf(worker);
             slot.runs = worker.activeRuns;
+            const auto speedClass = classes.find(number);
+            slot.isSpeedKnown = speedClass != classes.end();
+            slot.speedClass = slot.isSpeedKnown ? speedClass->second : 0;
             slot.hasCrashedLately = hasCrashedLately(state.crashes, worker.report.address, nowMs);
             if (condition != conditions.end()) {
                 slot.isUsable = condition->second.isUsable && !worker.report.draining;
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -5,6 +5,7 @@
 #include "chervilport/batch/run_estimates.h"
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/batch/urgent_reservation.h"
+#include "chervilport/batch/worker_speeds.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,8 @@
     std::map<worker_number, worker_reservation> reservations;
     /// Observed run times.
     run_estimates estimates;
+    /// Observed speeds of workers.
+    worker_speeds speeds;
     /// Recent demand of urgent work.
     urgent_demand_window urgentDemand;
 };
--- a/chervilport/batch/urgent_reservation.cpp
+++ b/chervilport/batch/urgent_reservation.cpp
@@ -4,8 +4,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numeric>
+#include <string>
+#include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace chervilport::batch {
@@ -47,6 +51,23 @@
             shareOf(demand.accelerators, capacity.accelerators) });
     }
 
+    /// Returns the mean speed class of the usable workers by rack, in halves of a class.
+    std::map<std::string, std::int64_t> rackSlowness(const worker_slots& slots)
+    {
+        std::map<std::string, std::pair<double, double>> sums;
+        for (const auto& slot : slots) {
+            auto& [sum, count] = sums[slot.worker->report.rack];
+            if (!slot.isUsable)
+                continue;
+            sum += slot.speedClass;
+            count += 1;
+        }
+        std::map<std::string, std::int64_t> slowness;
+        for (const auto& [rack, entry] : sums)
+            slowness[rack] = entry.second == 0 ? 0 : std::llround(2 * entry.first / entry.second);
+        return slowness;
+    }
+
     std::int64_t unfinishedTasks(const job_record& job, std::size_t step)
     {
         const auto count = static_cast<std::int64_t>(job.request.steps[step].count);
@@ -105,14 +126,17 @@
     const auto minimum = static_cast<std::int64_t>(total * minUrgentReservedRatio);
     const auto maximum = static_cast<std::int64_t>(total * maxUrgentReservedRatio);
     auto remaining = std::clamp(static_cast<std::int64_t>(std::ceil(peakWorkers * headroom)), minimum, maximum);
-    // Reserve workers in the order of racks and ids.
+    // Reserve the workers of fast racks first, and the fast workers of a rack, otherwise in the order of racks and ids.
+    const auto slowness = rackSlowness(slots);
     std::vector<std::size_t> order(slots.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    std::sort(order.begin(), order.end(), [&](std::size_t first, std::size_t second) {
-        const auto& a = slots[first].worker->report;
-        const auto& b = slots[second].worker->report;
-        return std::tie(a.rack, a.id) < std::tie(b.rack, b.id);
-    });
+    const auto keyOf = [&](std::size_t index) {
+        const auto& report = slots[index].worker->report;
+        return std::tuple<std::int64_t, std::string_view, std::int32_t, std::string_view> { slowness.at(report.rack),
+            report.rack, slots[index].speedClass, report.id };
+    };
+    std::sort(order.begin(), order.end(),
+        [&](std::size_t first, std::size_t second) { return keyOf(first) < keyOf(second); });
     for (const auto each : order) {
         if (remaining <= 0)
             return;
--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -1,6 +1,9 @@
 #include "chervilport/batch/worker_slot.h"
 
+#include "chervilport/batch/guaranteed_jobs.h"
+
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -23,17 +26,35 @@
     }
 
     /// Rank of a worker; lower is better.
-    using worker_rank = std::tuple<bool, std::uint32_t, std::int32_t, bool, std::int64_t, std::int64_t, std::int64_t>;
+    using worker_rank
+        = std::tuple<bool, std::uint32_t, std::int32_t, std::int32_t, bool, std::int64_t, std::int64_t, std::int64_t>;
+
+    /// Returns the rank of a worker's speed for a step. Urgent jobs prefer fast workers, since they have little slack,
+    /// and other gangs avoid slow ones, since their slowest member sets their end. Other tasks leave both to them: they
+    /// take slow workers first, and then those of unknown speed, so that it is learnt.
+    std::int32_t speedRankOf(const worker_slot& slot, const ready_step& ready)
+    {
+        constexpr std::int32_t ranksPerClass = 2;
+        constexpr std::int32_t unknownRank = -1;
+        const auto rank = slot.isSpeedKnown ? ranksPerClass * slot.speedClass : 0;
+        if (ready.job->priority == guaranteedPriority)
+            return rank;
+        if (specOf(ready).gang)
+            return std::max(rank, 0);
+        return slot.isSpeedKnown ? -rank : unknownRank;
+    }
 
     /// Returns the rank of a worker. For suspect tasks, workers that have not crashed and those with the fewest runs
-    /// come first. Then come healthy workers, then workers that are reserved for urgent jobs: only steps that may use
-    /// them are ranked on them, and this leaves the other workers to the other jobs. Then comes the tightest fit, so
-    /// that empty workers stay available for large tasks.
-    worker_rank rankOf(const worker_slot& slot, const resource_demand& demand, bool isSuspect)
+    /// come first. Then come healthy workers, then those of a suitable speed, then workers that are reserved for urgent
+    /// jobs: only steps that may use them are ranked on them, and this leaves the other workers to the other jobs. Then
+    /// comes the tightest fit, so that empty workers stay available for large tasks.
+    worker_rank rankOf(const worker_slot& slot, const ready_step& ready, const resource_demand& demand)
     {
         const auto remaining = subtract(slot.free, demand);
+        const bool isSuspect = ready.isSuspect;
         return { isSuspect && slot.hasCrashedLately, isSuspect ? slot.runs : 0, slot.failureWeight,
-            !slot.reservedForUrgent, remaining.accelerators, remaining.milliCores, remaining.memoryMb };
+            speedRankOf(slot, ready), !slot.reservedForUrgent, remaining.accelerators, remaining.milliCores,
+            remaining.memoryMb };
     }
 
     /// Returns the number of tasks of the step that this pass has placed on a worker for another part of the step.
@@ -66,8 +87,7 @@
                 if (active + countPlaced(slot, *limits.ready) >= spec.maxPerWorker)
                     continue;
             }
-            const bool isSuspect = limits.ready->isSuspect;
-            if (!best || rankOf(slot, demand, isSuspect) < rankOf(slots[*best], demand, isSuspect))
+            if (!best || rankOf(slot, *limits.ready, demand) < rankOf(slots[*best], *limits.ready, demand))
                 best = i;
         }
         return best;
@@ -112,23 +132,37 @@
         return racks;
     }
 
-    /// Places all tasks in one rack: the one with the fewest free accelerators after the placement.
+    /// Rank of a rack for a gang; lower is better: the speed of its slowest member, then the free accelerators after
+    /// the placement.
+    using rack_rank = std::pair<std::int32_t, std::int64_t>;
+
+    rack_rank rankOfRack(
+        const worker_slots& slots, const placement_limits& limits, const std::vector<placed_task>& placed)
+    {
+        auto slowest = std::numeric_limits<std::int32_t>::min();
+        for (const auto& each : placed)
+            slowest = std::max(slowest, speedRankOf(slots[each.slot], *limits.ready));
+        std::int64_t free = 0;
+        for (const auto& slot : slots) {
+            if (slot.worker->report.rack == limits.rack && slot.isUsable)
+                free += slot.free.accelerators;
+        }
+        return { slowest, free };
+    }
+
+    /// Places all tasks in the rack with the best rank.
     std::vector<placed_task> placeInOneRack(worker_slots& slots, placement_limits limits)
     {
-        std::optional<std::pair<std::int64_t, std::string>> best;
+        std::optional<std::pair<rack_rank, std::string>> best;
         for (const auto& rack : racksOf(slots)) {
             limits.rack = rack;
             const auto placed = placeAllOrNone(slots, limits);
             if (placed.empty())
                 continue;
+            const auto rank = rankOfRack(slots, limits, placed);
             releaseCapacity(slots, *limits.ready, placed);
-            std::int64_t free = 0;
-            for (const auto& slot : slots) {
-                if (slot.worker->report.rack == rack && slot.isUsable)
-                    free += slot.free.accelerators;
-            }
-            if (!best || free < best->first)
-                best = { free, rack };
+            if (!best || rank < best->first)
+                best = { rank, rack };
         }
         if (!best)
             return {};
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -31,6 +31,10 @@
     std::string isolatedFor;
     /// Whether a worker crashed at the address of this one lately.
     bool hasCrashedLately = false;
+    /// Speed of the worker in classes that differ by a quarter; 0 is typical, higher is slower.
+    std::int32_t speedClass = 0;
+    /// Whether the speed was observed.
+    bool isSpeedKnown = false;
     /// Number of active runs and of tasks that this pass has placed.
     std::uint32_t runs = 0;
     /// Tasks that this pass has placed there and that have a limit per worker.
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -12,6 +12,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,7 @@
     /// Margin added to the longest lease that an earlier leader may have granted.
     constexpr std::chrono::milliseconds earlierLeaseMargin { 500 };
     constexpr double msPerSecond = 1'000.0;
+    constexpr double percent = 100;
 
     batch::placement_bounds placementBounds(const worker_bounds& bounds)
     {
@@ -96,9 +98,31 @@
     if (mayStop)
         stopEndedJobs();
     abortGangs(batch);
+    removeEndedPaces(batch);
     requestPass();
 }
 
+void batch_controller::removeEndedPaces(const batch::command_batch& batch)
+{
+    const auto removeIfEnded = [&](const std::string& id) {
+        const auto* const job = batch::findJob(m_state, id);
+        if (job == nullptr || job->phase != batch::job_phase::Active)
+            batch::removePaces(m_schedulerState.speeds, id);
+    };
+    for (const auto& command : batch.commands) {
+        if (const auto* const ended = std::get_if<batch::run_ended>(&command))
+            removeIfEnded(ended->run.task.job);
+        if (const auto* const cancelled = std::get_if<batch::job_cancelled>(&command))
+            removeIfEnded(cancelled->job);
+        if (const auto* const crashed = std::get_if<batch::worker_crashed>(&command)) {
+            for (const auto& run : crashed->runs)
+                removeIfEnded(run.task.job);
+            for (const auto& run : crashed->unconfirmedRuns)
+                removeIfEnded(run.task.job);
+        }
+    }
+}
+
 void batch_controller::observeStart(const batch::run_assigned& assigned)
 {
     const auto& job = m_state.jobs.at(assigned.run.task.job);
@@ -259,6 +283,7 @@
         entry.second->close();
         m_health.erase(entry.first);
         m_schedulerState.reservations.erase(entry.first);
+        batch::removeSpeed(m_schedulerState.speeds, entry.first);
         return true;
     });
     // Open sessions for new workers.
@@ -285,6 +310,7 @@
     };
     host.changed = [this] { requestPass(); };
     host.started = [this](const batch::run_ref& run) { recordStartedRun(run); };
+    host.progressed = [this](const batch::pace_sample& sample) { recordProgress(sample); };
     host.ended = [this, number](const batch::run_ref&, batch::run_end_kind kind) {
         m_metrics->increment("chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(kind)) } });
         if (recordEnd(m_health[number], kind, monotonicNow()))
@@ -293,6 +319,25 @@
     return host;
 }
 
+void batch_controller::recordProgress(batch::pace_sample sample)
+{
+    const auto* const job = batch::findJob(m_state, sample.task.job);
+    const auto* const worker = batch::findWorker(m_state, sample.worker);
+    if (job == nullptr || job->phase != batch::job_phase::Active || worker == nullptr)
+        return;
+    // A long-running task reports its speed as progress, and a task away from its data is slow on any worker.
+    const auto& spec = job->request.steps[sample.task.step];
+    if (spec.longRunning || (!spec.dataRack.empty() && spec.dataRack != worker->report.rack))
+        return;
+    sample.queue = job->queue;
+    auto& speeds = m_schedulerState.speeds;
+    batch::recordPace(speeds, sample);
+    if (const auto slowness = batch::takeChangedSlowness(speeds, sample.worker))
+        logEvent("worker_speed",
+            { { "worker", worker->report.id }, { "slowness_percent", std::lround(*slowness * percent) },
+                { "samples", speeds.workers.at(sample.worker).samples } });
+}
+
 void batch_controller::tick()
 {
     if (!m_leading)
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -89,6 +89,8 @@
     void stopEndedJobs();
     void abortGangs(const batch::command_batch&);
     void stopGang(const gang_run&, const char* reason);
+    void removeEndedPaces(const batch::command_batch&);
+    void recordProgress(batch::pace_sample);
     void recordStartedRun(const batch::run_ref&);
     void requestPass();
     void runPass();
--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/task_ref.h"
+#include "chervilport/control/progress_observation.h"
 #include "chervilport/core/log_time.h"
 
 #include <cstdint>
@@ -34,6 +35,8 @@
     bool mayHaveArrived = false;
     /// Whether the worker confirmed or reported that it executes the run.
     bool hasRun = false;
+    /// Whether this instance sent the start request, without a checkpoint.
+    bool startedFromScratch = false;
     /// When the start was confirmed.
     log_time confirmedAt;
     /// Whether the run is to be stopped.
@@ -47,6 +50,8 @@
     log_time stopConfirmedAt;
     /// Whether the end of the run was proposed to the replication group.
     bool endProposed = false;
+    /// Observation of its progress.
+    progress_observation progress;
     /// Newest checkpoint.
     std::string checkpoint;
 };
--- a/chervilport/control/session_host.h
+++ b/chervilport/control/session_host.h
@@ -2,6 +2,7 @@
 
 #include "chervilport/batch/batch_command.h"
 #include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/worker_speeds.h"
 #include "chervilport/control/node_settings.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/instance/proposal_result.h"
@@ -35,6 +36,8 @@
     std::function<void()> changed;
     /// Called when the worker has confirmed the start of a run.
     std::function<void(const batch::run_ref&)> started;
+    /// Called when the progress of a run was observed.
+    std::function<void(const batch::pace_sample&)> progressed;
     /// Called when the end of a run is committed.
     std::function<void(const batch::run_ref&, batch::run_end_kind)> ended;
 };
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -338,6 +338,8 @@
             confirmStart(tracker);
         if (!reported.checkpoint.empty())
             tracker.checkpoint = reported.checkpoint;
+        if (const auto pace = observeProgress(tracker.progress, reported.percent, m_now))
+            m_host.progressed({ tracker.run.task, {}, m_worker, pace->workPerMs, pace->isLowerBound });
     }
 }
 
@@ -411,6 +413,7 @@
     if (const auto* const task = batch::findTask(m_host.state(), tracker.run.task))
         request.checkpoint = task->checkpoint;
     ++tracker.attempts;
+    tracker.startedFromScratch = tracker.attempts == 1 && request.checkpoint.empty();
     tracker.phase = start_phase::InFlight;
     m_host.client->start(
         target(), request, [self = shared_from_this(), run = tracker.run](const worker_result& result) {
@@ -450,6 +453,9 @@
 {
     tracker.phase = start_phase::Confirmed;
     tracker.confirmedAt = m_now;
+    // A run that resumes from a checkpoint begins with an unknown part of its work done, and so does an adopted one.
+    if (tracker.startedFromScratch)
+        tracker.progress.since = m_now;
     m_host.started(tracker.run);
 }
 
--- a/tests/batch/fake_site.h
+++ b/tests/batch/fake_site.h
@@ -46,6 +46,9 @@
     /// Advances the clock by this many milliseconds.
     void advance(std::int64_t ms) { m_nowMs += ms; }
 
+    /// Returns the clock, Unix milliseconds.
+    std::int64_t nowMs() const { return m_nowMs; }
+
     const batch::batch_state& state() const { return m_state; }
 
     /// Returns the job with this id, which must exist.
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -77,6 +77,7 @@
         };
         host.changed = [] {};
         host.started = [](const batch::run_ref&) {};
+        host.progressed = [this](const batch::pace_sample& sample) { paces.push_back(sample); };
         host.ended = [](const batch::run_ref&, batch::run_end_kind) {};
         return std::make_shared<worker_session>(host, number, leaseEnd);
     }
@@ -130,6 +131,7 @@
     batch::batch_state state;
     batch::worker_number number { 1 };
     std::vector<batch::batch_command> proposed;
+    std::vector<batch::pace_sample> paces;
     /// Results of the next proposals, which are not applied.
     std::deque<proposal_result> failedProposals;
     bool isLeader = true;
