--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/batch/job_admission.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/control/batch_log.h"
 #include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
@@ -79,11 +80,11 @@
     const auto batch = batch::decodeBatch(payload);
     if (m_leading) {
         recordRunTimes(batch);
-        logEndedWorkers(batch);
+        logEndedWorkers(m_state, batch, *m_metrics);
     }
     batch::applyBatch(m_state, batch);
     if (m_leading)
-        logEndedJobs(batch);
+        logEndedJobs(m_state, batch, *m_metrics);
     if (!m_leading)
         return;
     // Open sessions for new workers and send the start requests of new runs.
@@ -104,22 +105,15 @@
 
 void batch_controller::removeEndedPaces(const batch::command_batch& batch)
 {
-    const auto removeIfEnded = [&](const std::string& id) {
+    auto jobs = jobsWithEndedRuns(batch);
+    for (const auto& command : batch.commands) {
+        if (const auto* const cancelled = std::get_if<batch::job_cancelled>(&command))
+            jobs.insert(cancelled->job);
+    }
+    for (const auto& id : jobs) {
         const auto* const job = batch::findJob(m_state, id);
         if (job == nullptr || job->phase != batch::job_phase::Active)
             batch::removePaces(m_schedulerState.speeds, id);
-    };
-    for (const auto& command : batch.commands) {
-        if (const auto* const ended = std::get_if<batch::run_ended>(&command))
-            removeIfEnded(ended->run.task.job);
-        if (const auto* const cancelled = std::get_if<batch::job_cancelled>(&command))
-            removeIfEnded(cancelled->job);
-        if (const auto* const crashed = std::get_if<batch::worker_crashed>(&command)) {
-            for (const auto& run : crashed->runs)
-                removeIfEnded(run.task.job);
-            for (const auto& run : crashed->unconfirmedRuns)
-                removeIfEnded(run.task.job);
-        }
     }
 }
 
@@ -171,41 +165,6 @@
     }
 }
 
-void batch_controller::logEndedWorkers(const batch::command_batch& batch) const
-{
-    for (const auto& command : batch.commands) {
-        if (const auto* const ended = std::get_if<batch::worker_ended>(&command))
-            logEndedWorker(ended->worker, "removed", batch.timeMs);
-        const auto* const reported = std::get_if<batch::worker_reported>(&command);
-        if (reported == nullptr || batch::isOutdated(m_state, reported->report))
-            continue;
-        for (const auto worker : batch::replacedWorkers(m_state, reported->report))
-            logEndedWorker(worker, "replaced by " + reported->report.id, batch.timeMs);
-    }
-}
-
-void batch_controller::logEndedWorker(batch::worker_number number, const std::string& reason, std::int64_t timeMs) const
-{
-    const auto* const worker = batch::findWorker(m_state, number);
-    if (worker == nullptr)
-        return;
-    const auto& report = worker->report;
-    logEvent("worker_ended",
-        { { "worker", report.id }, { "address", report.address }, { "reason", reason },
-            { "draining", report.draining ? "true" : "false" }, { "runs", worker->activeRuns } },
-        log_level::Warning);
-    m_metrics->increment("chervilport_workers_ended_total", { { "draining", report.draining ? "true" : "false" } });
-    for (const auto& run : batch::runsOn(m_state, number)) {
-        const auto ageMs = timeMs - batch::findTask(m_state, run.task)->startedMs;
-        logEvent("run_ended",
-            { { "run", batch::describe(run) }, { "worker", report.id },
-                { "how", batch::nameOf(batch::run_end_kind::Lost) }, { "reason", "worker ended" }, { "age_ms", ageMs },
-                { "beside", worker->activeRuns - 1 } });
-        m_metrics->increment(
-            "chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(batch::run_end_kind::Lost)) } });
-    }
-}
-
 std::string batch_controller::takeSnapshot() const { return batch::encodeState(m_state); }
 
 void batch_controller::loadSnapshot(std::string_view bytes) { m_state = batch::decodeState(bytes); }
@@ -482,52 +441,6 @@
     }
 }
 
-void batch_controller::logEndedJobs(const batch::command_batch& batch) const
-{
-    std::set<std::string> jobsWithEnds;
-    for (const auto& command : batch.commands) {
-        if (const auto* const ended = std::get_if<batch::run_ended>(&command))
-            jobsWithEnds.insert(ended->run.task.job);
-        if (const auto* const crashed = std::get_if<batch::worker_crashed>(&command)) {
-            m_metrics->increment("chervilport_worker_crashes_total", {});
-            for (const auto& run : crashed->runs)
-                logCrashedRun(run, true);
-            for (const auto& run : crashed->unconfirmedRuns)
-                logCrashedRun(run, false);
-            for (const auto& run : crashed->runs)
-                jobsWithEnds.insert(run.task.job);
-            for (const auto& run : crashed->unconfirmedRuns)
-                jobsWithEnds.insert(run.task.job);
-        }
-    }
-    for (const auto& id : jobsWithEnds) {
-        const auto* const job = batch::findJob(m_state, id);
-        if (job == nullptr || job->phase == batch::job_phase::Active || job->endedMs != m_state.timeMs)
-            continue;
-        logEvent("job_ended",
-            { { "job", id }, { "queue", job->queue }, { "phase", batch::nameOf(job->phase) },
-                { "age_ms", job->endedMs - job->acceptedMs } });
-        m_metrics->observe("chervilport_job_seconds", { { "queue", job->queue }, { "workspace", job->workspace } },
-            static_cast<double>(job->endedMs - job->acceptedMs) / msPerSecond);
-    }
-}
-
-void batch_controller::logCrashedRun(const batch::run_ref& run, bool isConfirmed) const
-{
-    const auto* const job = batch::findJob(m_state, run.task.job);
-    const auto* const record = batch::findCrashes(m_state.crashes, run.task);
-    // The records of a job are removed when it ends.
-    const bool isGivenUp = record == nullptr && job != nullptr && job->phase == batch::job_phase::Failed;
-    if (record == nullptr && !isGivenUp)
-        return;
-    logEvent("crash_counted",
-        { { "run", batch::describe(run) }, { "confirmed", isConfirmed ? "true" : "false" },
-            { "crashes", record == nullptr ? 0 : record->crashes },
-            { "unconfirmed", record == nullptr ? 0 : record->unconfirmedCrashes },
-            { "outcome", isGivenUp ? "given_up" : "retry" } },
-        log_level::Warning);
-}
-
 void batch_controller::startAssigned(const batch::command_batch& batch)
 {
     for (const auto& command : batch.commands) {
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -96,10 +96,6 @@
     void runPass();
     void observeStart(const batch::run_assigned&);
     void recordRunTimes(const batch::command_batch&);
-    void logEndedWorkers(const batch::command_batch&) const;
-    void logEndedWorker(batch::worker_number, const std::string& reason, std::int64_t timeMs) const;
-    void logCrashedRun(const batch::run_ref&, bool isConfirmed) const;
-    void logEndedJobs(const batch::command_batch&) const;
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
     session_host makeHost(batch::worker_number);
