--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -106,7 +106,7 @@
         worker.incarnation = 10;
         worker.running = { { { { "job", 0, 0, 0 }, 1 }, "", 0 } };
         worker.pollReplies = { worker_reply::Done, worker_reply::NoResponse, worker_reply::NoResponse };
-        const auto session = makeSession();
+        auto session = makeSession();
         session->open();
         runReady();
         worker.heldPoll();
