--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -142,7 +142,7 @@
 
 template <typename Archive> void visitFields(Archive& archive, crash_record& value)
 {
-    visitEach(archive, value.crashes, value.unconfirmedCrashes, value.lastRun, value.lastMs);
+    visitEach(archive, value.crashes, value.unconfirmedCrashes, value.runs, value.lastMs);
 }
 
 template <typename Archive> void visitFields(Archive& archive, crash_history& value)
--- a/chervilport/batch/crash_history.cpp
+++ b/chervilport/batch/crash_history.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/batch/crash_history.h"
 
+#include <algorithm>
+
 namespace chervilport::batch {
 
 namespace {
@@ -18,9 +20,9 @@
     crash_record* recordRun(crash_history& history, const run_ref& run, std::int64_t timeMs)
     {
         auto& record = history.tasks[run.task];
-        if (run.run <= record.lastRun)
+        if (std::find(record.runs.begin(), record.runs.end(), run.run) != record.runs.end())
             return nullptr;
-        record.lastRun = run.run;
+        record.runs.push_back(run.run);
         record.lastMs = timeMs;
         return &record;
     }
--- a/chervilport/batch/crash_history.h
+++ b/chervilport/batch/crash_history.h
@@ -17,8 +17,8 @@
     std::uint32_t crashes = 0;
     /// Number of runs that a worker may have executed when it crashed.
     std::uint32_t unconfirmedCrashes = 0;
-    /// Number of the last such run.
-    std::uint32_t lastRun = 0;
+    /// Numbers of these runs. The crashes can be reported in another order than that of the runs.
+    std::vector<std::uint32_t> runs;
     /// Time of the last crash, Unix milliseconds.
     std::int64_t lastMs = 0;
 };
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -49,6 +49,14 @@
     cr_assert_eq(findCrashes(history, runOf("a", 1).task)->crashes, 1);
 }
 
+// Guards against a crash that is not counted because a worker that crashed later is back earlier.
+Test(crashHistory, crashesReportedOutOfOrderCount)
+{
+    crash_history history;
+    cr_assert(!crash(history, { runOf("a", 2) }, true, "y"));
+    cr_assert(crash(history, { runOf("a", 1) }, true, "x"));
+}
+
 // Guards against a task that is given up after two crashes of workers that may never have started it.
 Test(crashHistory, unconfirmedCrashesAreNotConclusive)
 {
