--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -272,6 +272,14 @@
             state.config = command.config;
     }
 
+    void apply(batch_state& state, const evacuation_changed& command)
+    {
+        if (command.isEvacuated)
+            state.evacuatedDomains.try_emplace(command.failureDomain, state.timeMs);
+        else
+            state.evacuatedDomains.erase(command.failureDomain);
+    }
+
 } // namespace
 
 void applyBatch(batch_state& state, const command_batch& batch)
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -155,6 +155,11 @@
     visitEach(archive, value.config);
 }
 
+template <typename Archive> void visitFields(Archive& archive, evacuation_changed& value)
+{
+    visitEach(archive, value.failureDomain, value.isEvacuated);
+}
+
 namespace {
 
     /// Sets the variant to the default value of the alternative with this index.
@@ -191,7 +196,7 @@
     visitEach(archive, value.timeMs, value.config, value.workers, value.nextWorker, value.jobs);
     // Snapshots of earlier versions end here.
     if (archive.hasMore())
-        visitFields(archive, value.crashes);
+        visitEach(archive, value.crashes, value.evacuatedDomains);
 }
 
 namespace {
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -85,9 +85,15 @@
     site_config config;
 };
 
+/// Evacuates a failure domain, or ends its evacuation. Idempotent.
+struct evacuation_changed {
+    std::string failureDomain;
+    bool isEvacuated = false;
+};
+
 /// A command that changes the state. The order of the alternatives is part of the format of the log.
 using batch_command = std::variant<job_submitted, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
-    config_applied, worker_crashed>;
+    config_applied, worker_crashed, evacuation_changed>;
 
 /// Commands that are committed together.
 struct command_batch {
--- a/chervilport/batch/batch_state.cpp
+++ b/chervilport/batch/batch_state.cpp
@@ -26,6 +26,11 @@
     return newest;
 }
 
+bool acceptsRuns(const batch_state& state, const worker_record& worker)
+{
+    return !worker.report.draining && !state.evacuatedDomains.contains(worker.report.failureDomain);
+}
+
 const queue_config* findQueue(const site_config& config, std::string_view name)
 {
     const auto found = std::find_if(
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -26,6 +26,8 @@
     std::map<std::string, job_record> jobs;
     /// Crashes of workers under the tasks of active jobs.
     crash_history crashes;
+    /// Failure domains whose workers get no new runs, with the time since when, Unix milliseconds.
+    std::map<std::string, std::int64_t> evacuatedDomains;
 };
 
 /// Returns the job, or null.
@@ -37,6 +39,9 @@
 /// Returns the newest worker with this id, or null.
 const worker_record* findWorker(const batch_state&, std::string_view id);
 
+/// Returns whether the worker may get new runs: it is not draining and its failure domain is not evacuated.
+bool acceptsRuns(const batch_state&, const worker_record&);
+
 /// Returns the queue of that name, or null.
 const queue_config* findQueue(const site_config&, std::string_view name);
 
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -62,7 +62,7 @@
             slot.speedClass = slot.isSpeedKnown ? speedClass->second : 0;
             slot.hasCrashedLately = hasCrashedLately(state.crashes, worker.report.address, nowMs);
             if (condition != conditions.end()) {
-                slot.isUsable = condition->second.isUsable && !worker.report.draining;
+                slot.isUsable = condition->second.isUsable && acceptsRuns(state, worker);
                 slot.failureWeight = condition->second.failureWeight;
             }
             const auto reservation = schedulerState.reservations.find(number);
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/logging/event_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilport {
@@ -23,6 +24,27 @@
             });
     }
 
+    std::size_t countWorkers(const batch::batch_state& state, const std::string& failureDomain)
+    {
+        return static_cast<std::size_t>(std::count_if(state.workers.begin(), state.workers.end(),
+            [&](const auto& entry) { return entry.second.report.failureDomain == failureDomain; }));
+    }
+
+    void changeEvacuation(
+        batch_controller& jobs, const std::string& failureDomain, bool isEvacuated, call_result_callback done)
+    {
+        // Propose even when the state shows no change: an earlier change may be in the log and not applied yet.
+        const auto workers = countWorkers(jobs.state(), failureDomain);
+        jobs.propose(batch::evacuation_changed { failureDomain, isEvacuated },
+            [failureDomain, isEvacuated, workers, done = std::move(done)](proposal_result result) {
+                const bool committed = result == proposal_result::Committed;
+                logEvent(isEvacuated ? "domain_evacuated" : "domain_restored",
+                    { { "domain", failureDomain }, { "workers", workers },
+                        { "outcome", committed ? "committed" : "unknown" } });
+                done(committed ? call_result::Applied : call_result::Unknown);
+            });
+    }
+
 } // namespace
 
 void submitJob(
@@ -86,6 +108,16 @@
     return jobs.state().config;
 }
 
+void evacuateDomain(batch_controller& jobs, const std::string& failureDomain, call_result_callback done)
+{
+    changeEvacuation(jobs, failureDomain, true, std::move(done));
+}
+
+void restoreDomain(batch_controller& jobs, const std::string& failureDomain, call_result_callback done)
+{
+    changeEvacuation(jobs, failureDomain, false, std::move(done));
+}
+
 void reportWorker(batch_controller& jobs, batch::worker_report report, call_result_callback done)
 {
     if (batch::isOutdated(jobs.state(), report) || !batch::changesWorker(jobs.state(), report)) {
--- a/chervilport/control/batch_calls.h
+++ b/chervilport/control/batch_calls.h
@@ -41,6 +41,13 @@
 /// Returns the current configuration. Throws chervilport_error `Unavailable` while there is none.
 const batch::site_config& showConfig(const batch_controller&);
 
+/// Evacuates a failure domain: its workers get no new runs, while their active ones go on. A domain that is evacuated
+/// already stays so.
+void evacuateDomain(batch_controller&, const std::string& failureDomain, call_result_callback);
+
+/// Ends the evacuation of a failure domain. A domain that is not evacuated is left unchanged.
+void restoreDomain(batch_controller&, const std::string& failureDomain, call_result_callback);
+
 /// Records the report of a worker. A report that is outdated or equal to the recorded one changes nothing.
 void reportWorker(batch_controller&, batch::worker_report, call_result_callback);
 
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -146,6 +146,7 @@
     m_metrics->set("chervilport_config_version", {}, static_cast<double>(m_state.config.version));
     m_metrics->set("chervilport_jobs_active", {}, static_cast<double>(activeJobs));
     m_metrics->set("chervilport_runs_active", {}, static_cast<double>(activeRuns));
+    m_metrics->set("chervilport_domains_evacuated", {}, static_cast<double>(m_state.evacuatedDomains.size()));
     m_metrics->set("chervilport_workers", { { "state", "known" } }, static_cast<double>(m_state.workers.size()));
     m_metrics->set("chervilport_workers", { { "state", "usable" } }, static_cast<double>(usableWorkers));
     for (const auto& [queue, count] : pending)
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -404,6 +404,11 @@
     if (job == nullptr || !m_clock.readingMs || !m_host.mayExecute() || tracker.phase == start_phase::InFlight
         || tracker.phase == start_phase::Confirmed || tracker.endProposed)
         return;
+    const auto* const worker = record();
+    if (worker != nullptr && !batch::acceptsRuns(m_host.state(), *worker)) {
+        withholdStart(tracker, *worker);
+        return;
+    }
     const auto now = monotonicNow();
     start_request request;
     request.run = tracker.run;
@@ -422,6 +427,24 @@
         });
 }
 
+void worker_session::withholdStart(run_tracker& tracker, const batch::worker_record& worker)
+{
+    logEvent("run_start_withheld",
+        { { "run", describe(tracker.run) }, { "worker", worker.report.id }, { "domain", worker.report.failureDomain },
+            { "reason", worker.report.draining ? "draining" : "evacuated" } });
+    if (tracker.mayHaveArrived)
+        abandonStart(tracker);
+    else
+        proposeEnd(tracker, batch::run_end_kind::NotStarted);
+}
+
+void worker_session::abandonStart(run_tracker& tracker)
+{
+    tracker.phase = start_phase::Abandoned;
+    tracker.stopRequested = true;
+    sendStop(tracker);
+}
+
 void worker_session::handleStart(const batch::run_ref& run, const worker_result& result)
 {
     recordResult(result);
@@ -477,9 +500,7 @@
         tracker.phase = start_phase::Retry;
         return;
     }
-    tracker.phase = start_phase::Abandoned;
-    tracker.stopRequested = true;
-    sendStop(tracker);
+    abandonStart(tracker);
 }
 
 void worker_session::sendStop(run_tracker& tracker)
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -61,6 +61,8 @@
     void reconcileMissing(const poll_response&, log_time sentAt);
     void endExpiredRuns();
     void sendStart(run_tracker&);
+    void withholdStart(run_tracker&, const batch::worker_record&);
+    void abandonStart(run_tracker&);
     void handleStart(const batch::run_ref&, const worker_result&);
     void retryOrAbandon(run_tracker&, const worker_result&);
     void sendStop(run_tracker&);
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -144,11 +144,12 @@
     site.addWorkers(1);
     site.submit(normalQueue, { stepOf(1, 1) });
     const auto bytes = encodeState(site.state());
-    // Remove the sizes of the two empty maps at the end, one CBOR byte each, from the array and from its length.
+    // Remove the sizes of the three empty maps at the end, one CBOR byte each, from the array and from its length. An
+    // earlier version wrote none of them.
     constexpr unsigned char arrayWithOneByteLength = 0x98;
-    auto earlier = bytes.substr(0, bytes.size() - 2);
+    auto earlier = bytes.substr(0, bytes.size() - 3);
     cr_assert_eq(static_cast<unsigned char>(earlier[0]), arrayWithOneByteLength);
-    earlier[1] = static_cast<char>(earlier[1] - 2);
+    earlier[1] = static_cast<char>(earlier[1] - 3);
     const auto restored = decodeState(earlier);
     cr_assert(encodeState(restored) == bytes);
 }
--- a/tests/batch/site_rules_test.cpp
+++ b/tests/batch/site_rules_test.cpp
@@ -1,3 +1,4 @@
+#include "chervilport/batch/batch_codec.h"
 #include "chervilport/batch/config_check.h"
 #include "chervilport/batch/guaranteed_jobs.h"
 #include "chervilport/batch/job_admission.h"
@@ -128,3 +129,33 @@
     cr_assert_eq(site.pass().assigned.size(), 1);
     cr_assert_eq(site.activeRuns(urgent).size(), 1);
 }
+
+// Guards against runs that are placed in a failure domain after its evacuation, and against one that stays closed.
+Test(siteRules, evacuatedDomainGetsNoRuns)
+{
+    fake_site site;
+    site.addWorkers(2);
+    auto report = reportOf("w1", "10.0.0.1:80", 500'000);
+    report.failureDomain = "west";
+    report.sequence = 2;
+    site.apply(worker_reported { report });
+    const auto west = findWorker(site.state(), "w1")->number;
+    site.apply(evacuation_changed { "west", true });
+    const auto first = site.submit(normalQueue, { stepOf(4, 4) });
+    site.pass();
+    const auto runs = site.activeRuns(first);
+    cr_assert_eq(runs.size(), 2);
+    for (const auto& run : runs)
+        cr_assert_neq(run.worker, west);
+    site.apply(evacuation_changed { "west", false });
+    site.pass();
+    cr_assert_eq(site.activeRuns(first).size(), 4);
+}
+
+// Guards against an evacuation that is lost with a snapshot.
+Test(siteRules, evacuationOutlivesASnapshot)
+{
+    fake_site site;
+    site.apply(evacuation_changed { "west", true });
+    cr_assert(decodeState(encodeState(site.state())).evacuatedDomains.contains("west"));
+}
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -118,3 +118,20 @@
     cr_assert_throw(applyConfig(*fixture.jobs, invalid, fixture.recordResult()), chervilport_error);
     cr_assert_eq(showConfig(*fixture.jobs).version, 9);
 }
+
+// Guards against an evacuation that is acknowledged before its commit, and against an end of one that an earlier
+// proposal still in the log outlives.
+Test(batchCalls, evacuationIsAcknowledgedOnceItIsCommitted)
+{
+    calls_fixture fixture;
+    fixture.isCommitting = false;
+    evacuateDomain(*fixture.jobs, "west", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Unknown);
+    fixture.isCommitting = true;
+    evacuateDomain(*fixture.jobs, "west", fixture.recordResult());
+    restoreDomain(*fixture.jobs, "west", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Applied);
+    cr_assert(fixture.jobs->state().evacuatedDomains.empty());
+}
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -39,6 +39,7 @@
         report.id = "w";
         report.address = "10.0.0.1:80";
         report.service = "pool";
+        report.failureDomain = "west";
         report.incarnation = 10;
         report.capacity = { 1'000, 1'000, 1 };
         report.sequence = 1;
@@ -157,6 +158,40 @@
     cr_assert(fixture.worker.starts.front().spec == "work");
 }
 
+// Guards against a start in a failure domain that was evacuated after the run was assigned.
+Test(workerSession, startIsWithheldInAnEvacuatedDomain)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.apply(batch::evacuation_changed { "west", true });
+    const auto session = fixture.makeSession();
+    session->startRun(firstRun);
+    fixture.runReady();
+    cr_assert(fixture.worker.starts.empty());
+    cr_assert(fixture.ends() == std::vector { batch::run_end_kind::NotStarted });
+}
+
+// Guards against a start request that is sent again to a worker that has begun to drain. A stop has to show that the
+// first request did not start the run.
+Test(workerSession, retryIsWithheldOnADrainingWorker)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.startReplies = { worker_reply::NoResponse };
+    const auto session = fixture.makeSession();
+    session->startRun(firstRun);
+    fixture.runReady();
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+    auto report = batch::findWorker(fixture.state, fixture.number)->report;
+    report.draining = true;
+    ++report.sequence;
+    fixture.apply(batch::worker_reported { report });
+    session->tick(monotonicNow() + 1s);
+    fixture.runReady();
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+    cr_assert_eq(fixture.worker.stops.size(), 1);
+}
+
 // Guards against a second start of a run that is already running when a new leader takes over.
 Test(workerSession, newLeaderAdoptsRunningTasks)
 {
