--- a/chervilport/batch/gang_reservation.cpp
+++ b/chervilport/batch/gang_reservation.cpp
@@ -1,7 +1,6 @@
 #include "chervilport/batch/gang_reservation.h"
 
 #include <algorithm>
-#include <map>
 #include <vector>
 
 namespace chervilport::batch {
@@ -65,20 +64,19 @@
 {
     const auto& spec = specOf(ready);
     // Group the eligible workers by rack; all are one group when the gang may be spread.
-    std::map<std::string, std::vector<std::size_t>> byRack;
+    std::vector<std::vector<std::size_t>> byRack(spec.rackLocal ? countRacks(slots) : 1);
     for (std::size_t i = 0; i < slots.size(); ++i) {
         const auto& slot = slots[i];
         if (!slot.isUsable || !slot.reservedFor.empty() || !slot.isolatedFor.empty()
             || !isEligible(slot, ready, service))
             continue;
-        const auto& rack = slot.worker->report.rack;
-        if (!spec.dataRack.empty() && rack != spec.dataRack)
+        if (!spec.dataRack.empty() && slot.worker->report.rack != spec.dataRack)
             continue;
-        byRack[spec.rackLocal ? rack : std::string()].push_back(i);
+        byRack[spec.rackLocal ? slot.rackNumber : 0].push_back(i);
     }
     // Choose the group whose workers have the most free accelerators.
     reservation_candidate best;
-    for (auto& [rack, candidates] : byRack) {
+    for (auto& candidates : byRack) {
         auto choice = chooseEmptiest(slots, std::move(candidates), ready);
         if (!choice.slots.empty() && (best.slots.empty() || choice.freeAccelerators > best.freeAccelerators))
             best = std::move(choice);
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -6,6 +6,7 @@
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/batch/step_placement.h"
 #include "chervilport/batch/suspect_isolation.h"
 #include "chervilport/batch/worker_slot.h"
 
@@ -70,6 +71,7 @@
                 slot.reservedFor = reservation->second.job;
             slots.push_back(std::move(slot));
         }
+        numberRacks(slots);
         isolateSuspects(slots, state, nowMs);
         return slots;
     }
--- a/chervilport/batch/urgent_reservation.cpp
+++ b/chervilport/batch/urgent_reservation.cpp
@@ -4,11 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
-#include <numeric>
-#include <string>
+#include <compare>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -51,23 +48,49 @@
             shareOf(demand.accelerators, capacity.accelerators) });
     }
 
-    /// Returns the mean speed class of the usable workers by rack, in halves of a class.
-    std::map<std::string, std::int64_t> rackSlowness(const worker_slots& slots)
+    /// Returns the mean speed class of the usable workers by rack number, in halves of a class.
+    std::vector<std::int64_t> rackSlowness(const worker_slots& slots)
     {
-        std::map<std::string, std::pair<double, double>> sums;
+        std::vector<std::pair<double, double>> sums(countRacks(slots));
         for (const auto& slot : slots) {
-            auto& [sum, count] = sums[slot.worker->report.rack];
             if (!slot.isUsable)
                 continue;
-            sum += slot.speedClass;
-            count += 1;
+            sums[slot.rackNumber].first += slot.speedClass;
+            sums[slot.rackNumber].second += 1;
         }
-        std::map<std::string, std::int64_t> slowness;
-        for (const auto& [rack, entry] : sums)
-            slowness[rack] = entry.second == 0 ? 0 : std::llround(2 * entry.first / entry.second);
+        std::vector<std::int64_t> slowness;
+        slowness.reserve(sums.size());
+        for (const auto& [sum, count] : sums)
+            slowness.push_back(count == 0 ? 0 : std::llround(2 * sum / count));
         return slowness;
     }
 
+    /// A usable worker in the order of the reservation: the workers of fast racks first, and the fast workers of a
+    /// rack, otherwise in the order of racks and ids.
+    struct reservation_order {
+        std::int64_t rackSlowness = 0;
+        std::uint32_t rackNumber = 0;
+        std::int32_t speedClass = 0;
+        std::string_view id;
+        std::size_t slot = 0;
+
+        auto operator<=>(const reservation_order&) const = default;
+    };
+
+    std::vector<reservation_order> orderUsableWorkers(const worker_slots& slots)
+    {
+        const auto slowness = rackSlowness(slots);
+        std::vector<reservation_order> order;
+        order.reserve(slots.size());
+        for (std::size_t i = 0; i < slots.size(); ++i) {
+            const auto& slot = slots[i];
+            if (slot.isUsable)
+                order.push_back(
+                    { slowness[slot.rackNumber], slot.rackNumber, slot.speedClass, slot.worker->report.id, i });
+        }
+        return order;
+    }
+
     std::int64_t unfinishedTasks(const job_record& job, std::size_t step)
     {
         const auto count = static_cast<std::int64_t>(job.request.steps[step].count);
@@ -125,26 +148,13 @@
     const auto total = static_cast<double>(slots.size());
     const auto minimum = static_cast<std::int64_t>(total * minUrgentReservedRatio);
     const auto maximum = static_cast<std::int64_t>(total * maxUrgentReservedRatio);
-    auto remaining = std::clamp(static_cast<std::int64_t>(std::ceil(peakWorkers * headroom)), minimum, maximum);
-    // Reserve the workers of fast racks first, and the fast workers of a rack, otherwise in the order of racks and ids.
-    const auto slowness = rackSlowness(slots);
-    std::vector<std::size_t> order(slots.size());
-    std::iota(order.begin(), order.end(), std::size_t { 0 });
-    const auto keyOf = [&](std::size_t index) {
-        const auto& report = slots[index].worker->report;
-        return std::tuple<std::int64_t, std::string_view, std::int32_t, std::string_view> { slowness.at(report.rack),
-            report.rack, slots[index].speedClass, report.id };
-    };
-    std::sort(order.begin(), order.end(),
-        [&](std::size_t first, std::size_t second) { return keyOf(first) < keyOf(second); });
-    for (const auto each : order) {
-        if (remaining <= 0)
-            return;
-        if (!slots[each].isUsable)
-            continue;
-        slots[each].reservedForUrgent = true;
-        --remaining;
-    }
+    const auto wanted = std::clamp(static_cast<std::int64_t>(std::ceil(peakWorkers * headroom)), minimum, maximum);
+    auto order = orderUsableWorkers(slots);
+    const auto count = std::min(order.size(), static_cast<std::size_t>(wanted));
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(order.begin(), end, order.end());
+    for (auto each = order.begin(); each != end; ++each)
+        slots[each->slot].reservedForUrgent = true;
 }
 
 } // namespace chervilport::batch
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -4,8 +4,6 @@
 #include "chervilport/batch/ready_step.h"
 
 #include <cstdint>
-#include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +13,8 @@
 struct worker_slot {
     /// The worker; valid until the state changes.
     const worker_record* worker = nullptr;
+    /// Number of its rack, from 0, in the order of the names of all racks.
+    std::uint32_t rackNumber = 0;
     /// Free capacity, less the tasks that this pass has placed; negative when they wait for preempted runs to end.
     resource_demand free;
     /// Capacity of runs that this pass stops; it cannot be used before they have ended.
@@ -31,7 +31,7 @@
     std::string isolatedFor;
     /// Whether a worker crashed at the address of this one lately.
     bool hasCrashedLately = false;
-    /// Speed of the worker in classes that differ by a quarter; 0 is typical, higher is slower.
+    /// Speed class of the worker, see `speedClasses`; 0 is typical, higher is slower.
     std::int32_t speedClass = 0;
     /// Whether the speed was observed.
     bool isSpeedKnown = false;
@@ -44,6 +44,12 @@
 /// All workers of a pass.
 using worker_slots = std::vector<worker_slot>;
 
+/// Returns the number of racks of the slots.
+std::uint32_t countRacks(const worker_slots&);
+
+/// Sets the rack numbers of the slots.
+void numberRacks(worker_slots&);
+
 /// Returns the slot of a worker, or null; the slots are in the order of worker numbers.
 const worker_slot* findSlot(const worker_slots&, worker_number);
 
@@ -56,19 +62,4 @@
 /// Returns whether a step may run on a worker, regardless of its free capacity and of reservations for single jobs.
 bool isEligible(const worker_slot&, const ready_step&, const std::string& service);
 
-/// Returns the number of active runs of the step by worker; empty for a step without a limit per worker.
-std::map<worker_number, std::uint32_t> countRuns(const ready_step&);
-
-/// A task and the slot where it is placed.
-struct placed_task {
-    /// Index of the task in its step.
-    std::uint32_t index = 0;
-    /// Index of the slot.
-    std::size_t slot = 0;
-};
-
-/// Places the tasks of a step and subtracts their demand from the slots. All tasks of a gang are placed or none; of
-/// other steps as many as fit. `allowOffRack` allows racks where the tasks are slow.
-std::vector<placed_task> placeStep(worker_slots&, const ready_step&, const std::string& service, bool allowOffRack);
-
 } // namespace chervilport::batch
