--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -189,10 +189,12 @@
 
     void apply(batch_state& state, const worker_ended& command)
     {
-        if (!state.workers.contains(command.worker))
+        const auto* const worker = findWorker(state, command.worker);
+        if (worker == nullptr)
             return;
         for (const auto& run : runsOn(state, command.worker))
             apply(state, run_ended { run, command.worker, run_end_kind::Lost, {} });
+        state.numbersById.erase(worker->report.id);
         state.workers.erase(command.worker);
     }
 
@@ -204,15 +206,15 @@
         for (const auto number : replacedWorkers(state, command.report))
             apply(state, worker_ended { number });
         // Update the worker with this id, or add a new one.
-        for (auto& [number, worker] : state.workers) {
-            if (worker.report.id != command.report.id)
-                continue;
-            worker.report = command.report;
+        const auto known = state.numbersById.find(command.report.id);
+        if (known != state.numbersById.end()) {
+            state.workers.at(known->second).report = command.report;
             return;
         }
         worker_record worker;
         worker.number = worker_number { state.nextWorker++ };
         worker.report = command.report;
+        state.numbersById.emplace(worker.report.id, worker.number);
         state.workers.emplace(worker.number, std::move(worker));
     }
 
@@ -313,15 +315,17 @@
 
 bool isOutdated(const batch_state& state, const worker_report& report)
 {
-    for (const auto& [number, worker] : state.workers) {
-        const auto& recorded = worker.report;
-        if (recorded.id == report.id && recorded.incarnation == report.incarnation)
+    if (const auto* const worker = findWorker(state, report.id)) {
+        const auto& recorded = worker->report;
+        if (recorded.incarnation == report.incarnation)
             return report.sequence <= recorded.sequence || (recorded.draining && !report.draining);
-        if ((recorded.id == report.id || recorded.address == report.address)
-            && report.incarnation < recorded.incarnation)
+        if (report.incarnation < recorded.incarnation)
             return true;
     }
-    return false;
+    return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto& entry) {
+        const auto& recorded = entry.second.report;
+        return recorded.address == report.address && report.incarnation < recorded.incarnation;
+    });
 }
 
 } // namespace chervilport::batch
--- a/chervilport/batch/batch_state.cpp
+++ b/chervilport/batch/batch_state.cpp
@@ -18,12 +18,8 @@
 
 const worker_record* findWorker(const batch_state& state, std::string_view id)
 {
-    const worker_record* newest = nullptr;
-    for (const auto& [number, worker] : state.workers) {
-        if (worker.report.id == id)
-            newest = &worker;
-    }
-    return newest;
+    const auto found = state.numbersById.find(id);
+    return found == state.numbersById.end() ? nullptr : findWorker(state, found->second);
 }
 
 bool acceptsRuns(const batch_state& state, const worker_record& worker)
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -6,6 +6,7 @@
 #include "chervilport/batch/worker_record.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
     site_config config;
     /// Workers that were not removed, by number.
     std::map<worker_number, worker_record> workers;
+    /// Numbers of these workers by id; derived from them, not part of snapshots.
+    std::map<std::string, worker_number, std::less<>> numbersById;
     /// Number of the next new worker.
     std::uint32_t nextWorker = 1;
     /// Jobs by id.
@@ -36,7 +39,7 @@
 /// Returns the worker, or null.
 const worker_record* findWorker(const batch_state&, worker_number);
 
-/// Returns the newest worker with this id, or null.
+/// Returns the worker with this id, or null.
 const worker_record* findWorker(const batch_state&, std::string_view id);
 
 /// Returns whether the worker may get new runs: it is not draining and its failure domain is not evacuated.
--- a/chervilport/batch/run_accounting.cpp
+++ b/chervilport/batch/run_accounting.cpp
@@ -39,6 +39,7 @@
     for (auto& [number, worker] : state.workers) {
         worker.used = {};
         worker.activeRuns = 0;
+        state.numbersById[worker.report.id] = number;
     }
     for (auto& [id, job] : state.jobs) {
         job.activeRuns = 0;
--- a/chervilport/batch/worker_speeds.cpp
+++ b/chervilport/batch/worker_speeds.cpp
@@ -28,6 +28,8 @@
     /// Minimum number of samples and change of the factor for a report to the log.
     constexpr std::uint32_t minReportedSamples = 3;
     constexpr double minReportedRatio = 1.4;
+    /// Refreshes of the factor of a typical worker in the time in which each worker has one sample.
+    constexpr std::size_t refreshesPerRound = 16;
     /// Number of workers that are kept for a step, which bounds the time of a sample.
     constexpr std::size_t maxPacesPerStep = 48;
 
@@ -96,15 +98,18 @@
         queue.logPace += (correctedLogPace - queue.logPace) * std::max(minQueueSampleWeight, 1.0 / queue.samples);
     }
 
-    /// Returns the logarithm of the factor of a typical worker: samples compare workers only with each other, so the
-    /// estimates share an unknown factor.
-    double typicalLogSlowness(const worker_speeds& speeds)
+    /// Refreshes the factor of a typical worker, unless few samples have come since the last time.
+    void refreshTypical(worker_speeds& speeds)
     {
+        ++speeds.samplesSinceRefresh;
+        if (speeds.samplesSinceRefresh * refreshesPerRound < speeds.workers.size())
+            return;
+        speeds.samplesSinceRefresh = 0;
         std::vector<double> all;
         all.reserve(speeds.workers.size());
         for (const auto& [worker, speed] : speeds.workers)
             all.push_back(speed.logSlowness);
-        return all.empty() ? 0 : median(std::move(all));
+        speeds.typicalLogSlowness = median(std::move(all));
     }
 
     void addSample(worker_speed& speed, double logSlowness, bool hasPeers)
@@ -130,8 +135,10 @@
     const auto reference = referenceFor(speeds, sample);
     const auto logSlowness = reference ? reference->logPace - logPace : 0;
     const bool tells = reference && (!sample.isLowerBound || logSlowness < logSlownessOf(speeds, sample.worker));
-    if (tells)
+    if (tells) {
         addSample(speeds.workers[sample.worker], logSlowness, reference->hasPeers);
+        refreshTypical(speeds);
+    }
     if (!sample.isLowerBound)
         updateQueue(speeds.queues[sample.queue], logPace + logSlownessOf(speeds, sample.worker));
 }
@@ -139,7 +146,7 @@
 double slownessOf(const worker_speeds& speeds, worker_number worker)
 {
     const auto found = speeds.workers.find(worker);
-    return found == speeds.workers.end() ? 1 : std::exp(found->second.logSlowness - typicalLogSlowness(speeds));
+    return found == speeds.workers.end() ? 1 : std::exp(found->second.logSlowness - speeds.typicalLogSlowness);
 }
 
 std::optional<double> takeChangedSlowness(worker_speeds& speeds, worker_number worker)
@@ -157,11 +164,11 @@
 
 std::map<worker_number, std::int32_t> speedClasses(const worker_speeds& speeds)
 {
-    const auto typical = typicalLogSlowness(speeds);
     std::map<worker_number, std::int32_t> classes;
     for (const auto& [worker, speed] : speeds.workers)
         classes.emplace_hint(classes.end(), worker,
-            static_cast<std::int32_t>(std::lround((speed.logSlowness - typical) / std::log(speedClassRatio))));
+            static_cast<std::int32_t>(
+                std::lround((speed.logSlowness - speeds.typicalLogSlowness) / std::log(speedClassRatio))));
     return classes;
 }
 
--- a/chervilport/batch/worker_speeds.h
+++ b/chervilport/batch/worker_speeds.h
@@ -3,6 +3,7 @@
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/batch/worker_record.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -64,6 +65,12 @@
     std::map<std::string, queue_pace> queues;
     /// Newest paces by step, one for each worker.
     std::map<step_key, std::vector<step_pace>> steps;
+    /// Logarithm of the factor of a typical worker. Samples compare workers only with each other, so all estimates
+    /// share it as an unknown summand. It is the median, and is refreshed after a share of the workers has had a
+    /// sample.
+    double typicalLogSlowness = 0;
+    /// Number of samples since the last refresh.
+    std::size_t samplesSinceRefresh = 0;
 };
 
 /// Adds a sample.
@@ -76,7 +83,7 @@
 /// for logs.
 std::optional<double> takeChangedSlowness(worker_speeds&, worker_number);
 
-/// Returns the speeds of all known workers in classes that differ by a quarter; 0 is typical, higher is slower.
+/// Returns the speeds of all known workers in classes that differ by a half; 0 is typical, higher is slower.
 std::map<worker_number, std::int32_t> speedClasses(const worker_speeds&);
 
 /// Removes the estimate of a worker, when another incarnation of it can have another speed.
