--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -6,6 +6,7 @@
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/control/batch_log.h"
+#include "chervilport/control/pass_pacing.h"
 #include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
@@ -23,8 +24,6 @@
 
     /// Period of the timer that checks sessions and gangs for due work.
     constexpr std::chrono::milliseconds tickInterval { 50 };
-    /// Delay from a change to the scheduling pass for it, so that changes in quick succession share a pass.
-    constexpr std::chrono::milliseconds passDelay { 4 };
     /// Percentage of `gangStartTimeout` after which the leader stops an incomplete gang, before its members time out.
     constexpr int gangTimeoutPercent = 55;
     /// Margin added to the longest lease that an earlier leader may have granted.
@@ -384,7 +383,7 @@
     if (m_passRequested || m_pendingAssignments > 0 || !m_leading)
         return;
     m_passRequested = true;
-    m_timer->pass.expires_after(passDelay);
+    m_timer->pass.expires_after(passPauseAfter(m_lastPassTime));
     m_timer->pass.async_wait([weak = weak_from_this()](const std::error_code& error) {
         const auto self = weak.lock();
         if (error || !self)
@@ -414,7 +413,10 @@
 {
     if (!m_leading || m_pendingAssignments > 0 || !m_link.mayExecute())
         return;
+    const auto begin = monotonicNow();
     auto plan = batch::planPass(m_state, conditions(), m_schedulerState, placementBounds(m_bounds), wallMs());
+    m_lastPassTime = monotonicNow() - begin;
+    m_metrics->observe("chervilport_pass_seconds", {}, std::chrono::duration<double>(m_lastPassTime).count());
     // Stop the preempted runs. Their capacity is free once their ends are committed.
     for (const auto& [run, beneficiary] : plan.preempted) {
         const auto* const task = batch::findTask(m_state, run.task);
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -115,6 +115,8 @@
     gang_start_tracker m_gangs;
     std::uint64_t m_term = 0;
     log_time m_leaseEnd;
+    /// Time that the last scheduling pass took.
+    log_duration m_lastPassTime {};
     std::size_t m_pendingAssignments = 0;
     bool m_leading = false;
     bool m_passRequested = false;
