--- a/chervilport/instance/control_core_calls.cpp
+++ b/chervilport/instance/control_core_calls.cpp
@@ -10,6 +10,7 @@
 #include "chervilport/instance/job_json.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/peer_network.h"
+#include "chervilport/instance/peer_response.h"
 #include "chervilport/instance/replica_group.h"
 #include "chervilport/instance/worker_controller.h"
 #include "chervilport/logging/log.h"
@@ -74,10 +75,7 @@
     call->request = { "POST", std::string(control_api::claimPath), {}, encodeClaimStep(step) };
     call->deadline = monotonicNow() + timeout;
     call->reply = [done = std::move(done)](const http_response& response) {
-        if (response.status == okStatus)
-            done({ decodeClaimReply(response.body), error_kind::Unavailable });
-        else
-            done({ std::nullopt, error_kind::Unavailable });
+        done({ readClaimResponse(response), error_kind::Unavailable });
     };
     m_api->handle(call);
 }
@@ -287,8 +285,8 @@
         call->request = { "GET", std::string(control_api::capacityPath), {}, "" };
         call->deadline = monotonicNow() + capacityTimeout;
         call->reply = [shared, done](const http_response& response) {
-            if (response.status == okStatus)
-                shared->capacity.push_back(decodeCapacity(response.body));
+            if (auto capacity = readCapacityResponse(response))
+                shared->capacity.push_back(std::move(*capacity));
             if (--shared->remaining == 0)
                 done(std::move(shared->capacity));
         };
