--- a/chervilport/control/node_settings.h
+++ b/chervilport/control/node_settings.h
@@ -47,6 +47,8 @@
     std::size_t faultTolerance = 1;
     /// Time between the stop signal and the forced kill.
     std::chrono::milliseconds stopGrace { 6'000 };
+    /// Number of file descriptors that the process may use.
+    std::size_t maxDescriptors = 4'096;
     /// Bounds of the workers.
     worker_bounds workers;
 };
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -166,6 +166,7 @@
     cr_assert(core.clientListen.empty());
     cr_assert_eq(core.node.stopGrace.count(), 6'000);
     cr_assert_eq(core.node.workers.maxLease.count(), 10'000);
+    cr_assert_eq(core.node.maxDescriptors, 2'048);
     cr_assert_eq(core.node.workers.reclaimTime.count(), 2'900);
     cr_assert_float_eq(core.node.workers.offRackSlowdown, 2.5, 0.001);
     cr_assert(core.node.bindIp == "10.1.0.22");
