--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "chervilport/batch/batch_command.h"
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/control/progress_observation.h"
+#include "chervilport/control/worker_client.h"
 #include "chervilport/core/log_time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace chervilport {
@@ -56,4 +59,35 @@
     std::string checkpoint;
 };
 
+/// Adds a run to the suspects of a crash of its worker if the worker executed it or may have done so.
+void addSuspect(batch::worker_crashed&, const run_tracker&);
+
+/// Returns whether the crash has suspects.
+bool hasSuspects(const batch::worker_crashed&);
+
+/// What follows a start request that failed.
+enum class failed_start_action : std::uint8_t {
+    /// The request may succeed later.
+    Retry,
+    /// No request has left this instance, so the run ends as not started and its task can be placed elsewhere.
+    End,
+    /// A stop has to ensure that the run never starts.
+    Stop,
+};
+
+/// Records the reply to a start request that failed, and returns what follows.
+failed_start_action recordFailedStart(run_tracker&, worker_reply);
+
+/// Returns the end of a run that a poll sent at this time does not list; nothing while it can still start.
+std::optional<batch::run_end_kind> endShownByAbsence(const run_tracker&, log_time sentAt);
+
+/// Returns whether a run that a poll sent at this time does not list should be on the worker.
+bool isMissing(const run_tracker&, log_time sentAt);
+
+/// Requires that a stop is confirmed from now on; earlier requests and confirmations do not count.
+void requireNewStop(run_tracker&);
+
+/// Tracks a run again whose end could not be committed.
+void reopenAfterUncommittedEnd(run_tracker&, batch::run_end_kind);
+
 } // namespace chervilport
--- /dev/null
+++ b/chervilport/control/session_log.cpp
@@ -0,0 +1,63 @@
+#include "chervilport/control/session_log.h"
+
+#include "chervilport/logging/event_log.h"
+
+namespace chervilport {
+
+void logWorkerReached(std::string_view worker, std::uint64_t term, const poll_response& response)
+{
+    logEvent("worker_reached",
+        { { "worker", worker }, { "term", term }, { "running", response.running.size() },
+            { "ended", response.ended.size() } });
+}
+
+void logWorkerRestarted(std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs)
+{
+    logEvent("worker_restarted", { { "worker", worker }, { "born", now }, { "before", before }, { "runs", runs } },
+        log_level::Warning);
+}
+
+void logWorkerUnreachable(std::string_view worker, const worker_result& result, std::size_t runs)
+{
+    logEvent("worker_unreachable",
+        { { "worker", worker }, { "reply", nameOf(result.reply) }, { "detail", result.detail }, { "runs", runs } },
+        log_level::Warning);
+}
+
+void logStartWithheld(const batch::run_ref& run, const batch::worker_report& worker)
+{
+    logEvent("run_start_withheld",
+        { { "run", describe(run) }, { "worker", worker.id }, { "domain", worker.failureDomain },
+            { "reason", worker.draining ? "draining" : "evacuated" } });
+}
+
+void logRunRequest(std::string_view event, const batch::run_ref& run, std::string_view worker,
+    const worker_result& result, int attempt)
+{
+    logEvent(event,
+        { { "run", describe(run) }, { "worker", worker }, { "reply", nameOf(result.reply) }, { "attempt", attempt },
+            { "detail", result.detail } });
+}
+
+void logUnexpectedRun(std::string_view event, const batch::run_ref& run, std::string_view worker)
+{
+    logEvent(event, { { "run", describe(run) }, { "worker", worker } }, log_level::Warning);
+}
+
+void logRunEnded(const run_tracker& tracker, std::string_view worker, batch::run_end_kind kind)
+{
+    logEvent("run_ended",
+        { { "run", describe(tracker.run) }, { "worker", worker }, { "how", batch::nameOf(kind) },
+            { "saved", tracker.checkpoint } });
+}
+
+void logUncommittedEnd(
+    const batch::run_ref& run, std::string_view worker, batch::run_end_kind kind, proposal_result result)
+{
+    logEvent("run_end_uncommitted",
+        { { "run", describe(run) }, { "worker", worker }, { "how", batch::nameOf(kind) },
+            { "outcome", result == proposal_result::Unknown ? "unknown" : "not_committed" } },
+        log_level::Warning);
+}
+
+} // namespace chervilport
--- /dev/null
+++ b/chervilport/control/session_log.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "chervilport/batch/batch_command.h"
+#include "chervilport/batch/worker_report.h"
+#include "chervilport/control/run_tracker.h"
+#include "chervilport/control/worker_client.h"
+#include "chervilport/instance/proposal_result.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace chervilport {
+
+/// Lines that a worker session writes to the log. `worker` is the id of its worker.
+
+/// The worker has responded for the first time in this term, or again.
+void logWorkerReached(std::string_view worker, std::uint64_t term, const poll_response&);
+
+/// The worker is a new incarnation; both are start times, Unix milliseconds.
+void logWorkerRestarted(std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs);
+
+/// A poll failed for the first time since the last response.
+void logWorkerUnreachable(std::string_view worker, const worker_result&, std::size_t runs);
+
+/// A run was not started because its worker takes no new runs.
+void logStartWithheld(const batch::run_ref&, const batch::worker_report&);
+
+/// A request about a run has completed, with or without a response.
+void logRunRequest(
+    std::string_view event, const batch::run_ref&, std::string_view worker, const worker_result&, int attempt);
+
+/// A run is missing on its worker, or is there without an assignment.
+void logUnexpectedRun(std::string_view event, const batch::run_ref&, std::string_view worker);
+
+/// The end of a run is proposed.
+void logRunEnded(const run_tracker&, std::string_view worker, batch::run_end_kind);
+
+/// The end of a run could not be committed.
+void logUncommittedEnd(const batch::run_ref&, std::string_view worker, batch::run_end_kind, proposal_result);
+
+} // namespace chervilport
--- a/chervilport/control/worker_client.h
+++ b/chervilport/control/worker_client.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilport {
@@ -44,6 +46,9 @@
     NoResponse,
 };
 
+/// Returns the name of a reply for logs.
+std::string_view nameOf(worker_reply);
+
 /// Result of a request.
 struct worker_result {
     /// Outcome of the request.
@@ -122,6 +127,9 @@
     std::vector<reported_end> ended;
 };
 
+/// Returns the running and ended runs of a response.
+std::set<batch::run_ref> runsIn(const poll_response&);
+
 /// Calls to workers, as functions that tests can replace. Callbacks run once, on the control thread, and never within
 /// the call.
 struct worker_client {
--- a/chervilport/control/worker_clock.cpp
+++ b/chervilport/control/worker_clock.cpp
@@ -17,6 +17,9 @@
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
     }
+    /// A step back of a worker's clock by more than this, in milliseconds, shows another incarnation; reordered
+    /// responses are less apart.
+    constexpr std::int64_t clockStepBackMs = 2'000;
 
 } // namespace
 
@@ -34,6 +37,11 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(span) + leaseSlackMs);
 }
 
+bool isOfAnotherIncarnation(const worker_clock& clock, std::int64_t readingMs)
+{
+    return clock.readingMs && readingMs + clockStepBackMs < *clock.readingMs;
+}
+
 std::int64_t grantLease(worker_clock& clock, std::chrono::milliseconds length, log_time now)
 {
     assert(clock.readingMs);
--- a/chervilport/control/worker_clock.h
+++ b/chervilport/control/worker_clock.h
@@ -23,6 +23,9 @@
 /// Records a reading that arrived at `now`. A reading that is not newer than the recorded one changes nothing.
 void recordReading(worker_clock&, std::int64_t readingMs, log_time now);
 
+/// Returns whether a reading is so far behind the recorded one that another incarnation of the worker took it.
+bool isOfAnotherIncarnation(const worker_clock&, std::int64_t readingMs);
+
 /// Grants a lease of this length and returns its end in milliseconds on the worker's clock. Requires a reading.
 std::int64_t grantLease(worker_clock&, std::chrono::milliseconds length, log_time now);
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/control/worker_session.h"
 
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/control/session_log.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
 
@@ -18,72 +19,17 @@
     /// Backoff between polls without a response.
     constexpr std::chrono::milliseconds firstPollBackoff { 200 };
     constexpr std::chrono::milliseconds maxPollBackoff { 1'600 };
-    /// Start requests sent before the start of the run is abandoned.
-    constexpr int maxStartAttempts = 4;
-    /// Start requests that provably did not leave this instance before the run ends as not started, so that the task
-    /// can be placed on another worker.
-    constexpr int maxUnsentAttempts = 2;
     /// Time for which a worker that responds as unhealthy gets no new runs.
     constexpr std::chrono::milliseconds unhealthyBackoff { 2'000 };
-    /// Minimum age of the confirmation of a start or a stop when a poll is sent that can show the run as missing. A run
-    /// that such a poll does not list is not on the worker.
-    constexpr std::chrono::milliseconds missingRunMinAge { 50 };
-    /// A step back of a worker's clock by more than this, in milliseconds, shows another incarnation; reordered
-    /// responses are less apart.
-    constexpr std::int64_t clockStepBackMs = 2'000;
 
     std::string workerName(const batch::worker_record* worker)
     {
         return worker == nullptr ? "unknown" : worker->report.id;
     }
 
-    /// Returns the running and ended runs of a response.
-    std::set<batch::run_ref> runsIn(const poll_response& response)
+    log_duration pollBackoffAfter(int failedPolls)
     {
-        std::set<batch::run_ref> runs;
-        for (const auto& reported : response.running)
-            runs.insert(reported.run);
-        for (const auto& reported : response.ended)
-            runs.insert(reported.run);
-        return runs;
-    }
-
-    /// Adds a run to the suspects of a crash of its worker if the worker executed it or may have done so.
-    void addSuspect(batch::worker_crashed& crash, const run_tracker& tracker)
-    {
-        const bool isUnconfirmed = tracker.phase != start_phase::Confirmed && !tracker.stopConfirmed
-            && (tracker.mayHaveArrived || tracker.phase == start_phase::InFlight);
-        if (tracker.hasRun)
-            crash.runs.push_back(tracker.run);
-        else if (isUnconfirmed)
-            crash.unconfirmedRuns.push_back(tracker.run);
-    }
-
-    const char* nameOf(worker_reply reply)
-    {
-        switch (reply) {
-        case worker_reply::Done:
-            return "done";
-        case worker_reply::Fenced:
-            return "fenced";
-        case worker_reply::OutdatedRun:
-            return "outdated_run";
-        case worker_reply::LeaseExpired:
-            return "too_late";
-        case worker_reply::InsufficientCapacity:
-            return "no_room";
-        case worker_reply::Refused:
-            return "refused";
-        case worker_reply::Unhealthy:
-            return "unhealthy";
-        case worker_reply::IncarnationMismatch:
-            return "other_life";
-        case worker_reply::NotSent:
-            return "not_sent";
-        case worker_reply::NoResponse:
-            return "no_answer";
-        }
-        return "unknown";
+        return std::min<log_duration>(firstPollBackoff * (1 << std::min(failedPolls - 1, 4)), maxPollBackoff);
     }
 
 } // namespace
@@ -205,7 +151,7 @@
 {
     m_now = monotonicNow();
     // Another incarnation numbers its ends from 1 again, so do not acknowledge them with the earlier numbers.
-    if (result.clockMs && m_clock.readingMs && *result.clockMs + clockStepBackMs < *m_clock.readingMs) {
+    if (result.clockMs && isOfAnotherIncarnation(m_clock, *result.clockMs)) {
         m_acknowledgedEnd = 0;
         m_lastListedEnd = 0;
     }
@@ -236,9 +182,7 @@
     // Mark the worker as reachable.
     const bool wasUsable = isUsable();
     if (!m_polled || m_failedPolls > 0)
-        logEvent("worker_reached",
-            { { "worker", worker->report.id }, { "term", m_host.term }, { "running", response.running.size() },
-                { "ended", response.ended.size() } });
+        logWorkerReached(worker->report.id, m_host.term, response);
     m_polled = true;
     m_failedPolls = 0;
     m_expiredRuns = {};
@@ -261,10 +205,7 @@
 
 void worker_session::beginIncarnation(std::int64_t incarnation)
 {
-    logEvent("worker_restarted",
-        { { "worker", workerName(record()) }, { "born", incarnation }, { "before", m_incarnation },
-            { "runs", m_runs.size() } },
-        log_level::Warning);
+    logWorkerRestarted(workerName(record()), m_incarnation, incarnation, m_runs.size());
     m_incarnation = incarnation;
     m_acknowledgedEnd = 0;
     m_lastListedEnd = 0;
@@ -284,9 +225,7 @@
         if (tracker.endProposed || neverSent || listed.contains(run))
             continue;
         // The run ended with the earlier incarnation, but a start request in flight can still start it in this one.
-        tracker.stopRequested = true;
-        tracker.stopConfirmed = false;
-        tracker.stopInFlight = false;
+        requireNewStop(tracker);
         sendStop(tracker);
     }
 }
@@ -299,14 +238,10 @@
     }
     ++m_failedPolls;
     if (m_failedPolls == 1) {
-        logEvent("worker_unreachable",
-            { { "worker", workerName(record()) }, { "reply", nameOf(result.reply) }, { "detail", result.detail },
-                { "runs", m_runs.size() } },
-            log_level::Warning);
+        logWorkerUnreachable(workerName(record()), result, m_runs.size());
         m_host.changed();
     }
-    const auto backoff = firstPollBackoff * (1 << std::min(m_failedPolls - 1, 4));
-    m_nextPoll = m_now + std::min<log_duration>(backoff, maxPollBackoff);
+    m_nextPoll = m_now + pollBackoffAfter(m_failedPolls);
 }
 
 void worker_session::reconcileEnds(const poll_response& response)
@@ -351,15 +286,12 @@
     for (auto& [run, tracker] : m_runs) {
         if (tracker.endProposed || listed.contains(run))
             continue;
-        // A stop that was confirmed before the poll was sent prevents the run from starting later.
-        if (tracker.stopConfirmed && tracker.stopConfirmedAt + missingRunMinAge < sentAt) {
-            proposeEnd(tracker,
-                tracker.phase == start_phase::Confirmed ? batch::run_end_kind::Lost : batch::run_end_kind::NotStarted);
+        if (const auto end = endShownByAbsence(tracker, sentAt)) {
+            proposeEnd(tracker, *end);
             continue;
         }
-        if (tracker.phase == start_phase::Confirmed && tracker.confirmedAt + missingRunMinAge < sentAt) {
-            logEvent(
-                "run_missing", { { "run", describe(run) }, { "worker", workerName(record()) } }, log_level::Warning);
+        if (isMissing(tracker, sentAt)) {
+            logUnexpectedRun("run_missing", run, workerName(record()));
             tracker.stopRequested = true;
             sendStop(tracker);
         }
@@ -389,9 +321,8 @@
             addSuspect(crash, tracker);
     }
     const auto* const worker = record();
-    const bool isEmpty = crash.runs.empty() && crash.unconfirmedRuns.empty();
     // A draining worker has announced its end.
-    if (worker == nullptr || worker->report.draining || isEmpty || !m_host.mayExecute())
+    if (worker == nullptr || worker->report.draining || !hasSuspects(crash) || !m_host.mayExecute())
         return;
     for (auto& [run, tracker] : m_runs)
         tracker.hasRun = false;
@@ -429,9 +360,7 @@
 
 void worker_session::withholdStart(run_tracker& tracker, const batch::worker_record& worker)
 {
-    logEvent("run_start_withheld",
-        { { "run", describe(tracker.run) }, { "worker", worker.report.id }, { "domain", worker.report.failureDomain },
-            { "reason", worker.report.draining ? "draining" : "evacuated" } });
+    logStartWithheld(tracker.run, worker.report);
     if (tracker.mayHaveArrived)
         abandonStart(tracker);
     else
@@ -456,9 +385,7 @@
     if (found == m_runs.end())
         return;
     auto& tracker = found->second;
-    logEvent("run_start_sent",
-        { { "run", describe(run) }, { "worker", workerName(record()) }, { "reply", nameOf(result.reply) },
-            { "attempt", tracker.attempts }, { "detail", result.detail } });
+    logRunRequest("run_start_sent", run, workerName(record()), result, tracker.attempts);
     // A poll may have shown the run in the meantime.
     if (tracker.phase != start_phase::InFlight)
         return;
@@ -488,19 +415,17 @@
         m_unhealthyUntil = m_now + unhealthyBackoff;
         m_host.changed();
     }
-    tracker.mayHaveArrived = tracker.mayHaveArrived || result.reply != worker_reply::NotSent;
-    if (!tracker.mayHaveArrived && tracker.attempts >= maxUnsentAttempts) {
+    switch (recordFailedStart(tracker, result.reply)) {
+    case failed_start_action::Retry:
+        tracker.phase = start_phase::Retry;
+        return;
+    case failed_start_action::End:
         proposeEnd(tracker, batch::run_end_kind::NotStarted);
         return;
-    }
-    // Retry when the request may succeed later; otherwise ensure with a stop that the run never starts.
-    const bool isRetryable = result.reply == worker_reply::NoResponse || result.reply == worker_reply::NotSent
-        || result.reply == worker_reply::LeaseExpired || result.reply == worker_reply::Unhealthy;
-    if (isRetryable && tracker.attempts < maxStartAttempts) {
-        tracker.phase = start_phase::Retry;
+    case failed_start_action::Stop:
+        abandonStart(tracker);
         return;
     }
-    abandonStart(tracker);
 }
 
 void worker_session::sendStop(run_tracker& tracker)
@@ -525,9 +450,7 @@
               const auto attempt = ++found->second.stopAttempts;
               // A stop is retried until it is confirmed; log only the first and the last attempt.
               if (attempt == 1 || result.reply == worker_reply::Done)
-                  logEvent("run_stop_sent",
-                      { { "run", describe(run) }, { "worker", workerName(self->record()) },
-                          { "reply", nameOf(result.reply) }, { "attempt", attempt }, { "detail", result.detail } });
+                  logRunRequest("run_stop_sent", run, workerName(self->record()), result, attempt);
               found->second.stopInFlight = false;
               if (result.reply != worker_reply::Done)
                   return;
@@ -540,7 +463,7 @@
 
 void worker_session::stopOrphan(const batch::run_ref& run)
 {
-    logEvent("stray_run_stopped", { { "run", describe(run) }, { "worker", workerName(record()) } }, log_level::Warning);
+    logUnexpectedRun("stray_run_stopped", run, workerName(record()));
     m_host.client->stop(target(), { run, m_host.term }, [self = shared_from_this()](const worker_result& result) {
         if (!self->m_closed)
             self->recordResult(result);
@@ -551,9 +474,7 @@
 {
     tracker.endProposed = true;
     ++m_pendingProposals;
-    logEvent("run_ended",
-        { { "run", describe(tracker.run) }, { "worker", workerName(record()) }, { "how", batch::nameOf(kind) },
-            { "saved", tracker.checkpoint } });
+    logRunEnded(tracker, workerName(record()), kind);
     m_host.propose(batch::run_ended { tracker.run, m_worker, kind, tracker.checkpoint },
         [self = shared_from_this(), run = tracker.run, kind](proposal_result result) {
             --self->m_pendingProposals;
@@ -569,10 +490,7 @@
 
 void worker_session::handleUncommittedEnd(const batch::run_ref& run, batch::run_end_kind kind, proposal_result result)
 {
-    logEvent("run_end_uncommitted",
-        { { "run", describe(run) }, { "worker", workerName(record()) }, { "how", batch::nameOf(kind) },
-            { "outcome", result == proposal_result::Unknown ? "unknown" : "not_committed" } },
-        log_level::Warning);
+    logUncommittedEnd(run, workerName(record()), kind, result);
     // Do not acknowledge the ends listed since, so that the worker lists them again.
     m_lastListedEnd = m_acknowledgedEnd;
     m_pollAgain = true;
@@ -580,16 +498,7 @@
     const auto found = m_runs.find(run);
     if (found == m_runs.end())
         return;
-    auto& tracker = found->second;
-    tracker.endProposed = false;
-    if (kind != batch::run_end_kind::Lost && kind != batch::run_end_kind::NotStarted)
-        return;
-    // The worker does not list an end of this kind, so a confirmed stop has to show again that the run has ended.
-    if (tracker.phase != start_phase::Confirmed)
-        tracker.phase = start_phase::Abandoned;
-    tracker.stopRequested = true;
-    tracker.stopConfirmed = false;
-    tracker.stopInFlight = false;
+    reopenAfterUncommittedEnd(found->second, kind);
 }
 
 void worker_session::afterProposal()
