--- a/chervilport/batch/worker_speeds.cpp
+++ b/chervilport/batch/worker_speeds.cpp
@@ -172,6 +172,14 @@
     return classes;
 }
 
+speed_counts countBySpeed(const worker_speeds& speeds)
+{
+    speed_counts counts;
+    for (const auto& [worker, speedClass] : speedClasses(speeds))
+        ++(speedClass < 0 ? counts.fast : (speedClass > 0 ? counts.slow : counts.typical));
+    return counts;
+}
+
 void removeSpeed(worker_speeds& speeds, worker_number worker)
 {
     speeds.workers.erase(worker);
--- a/chervilport/batch/worker_speeds.h
+++ b/chervilport/batch/worker_speeds.h
@@ -86,6 +86,16 @@
 /// Returns the speeds of all known workers in classes that differ by a half; 0 is typical, higher is slower.
 std::map<worker_number, std::int32_t> speedClasses(const worker_speeds&);
 
+/// Numbers of workers of known speed.
+struct speed_counts {
+    std::size_t fast = 0;
+    std::size_t typical = 0;
+    std::size_t slow = 0;
+};
+
+/// Counts the workers in the classes below, of and above the typical speed.
+speed_counts countBySpeed(const worker_speeds&);
+
 /// Removes the estimate of a worker, when another incarnation of it can have another speed.
 void removeSpeed(worker_speeds&, worker_number);
 
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -147,6 +147,10 @@
     m_metrics->set("chervilport_runs_active", {}, static_cast<double>(activeRuns));
     m_metrics->set("chervilport_domains_evacuated", {}, static_cast<double>(m_state.evacuatedDomains.size()));
     m_metrics->set("chervilport_workers", { { "state", "known" } }, static_cast<double>(m_state.workers.size()));
+    const auto speeds = batch::countBySpeed(m_schedulerState.speeds);
+    m_metrics->set("chervilport_workers_by_speed", { { "speed", "fast" } }, static_cast<double>(speeds.fast));
+    m_metrics->set("chervilport_workers_by_speed", { { "speed", "typical" } }, static_cast<double>(speeds.typical));
+    m_metrics->set("chervilport_workers_by_speed", { { "speed", "slow" } }, static_cast<double>(speeds.slow));
     m_metrics->set("chervilport_workers", { { "state", "usable" } }, static_cast<double>(usableWorkers));
     for (const auto& [queue, count] : pending)
         m_metrics->set("chervilport_jobs_pending", { { "queue", queue } }, static_cast<double>(count));
@@ -453,8 +457,10 @@
         const auto session = m_sessions.find(assigned->worker);
         if (session == m_sessions.end())
             continue;
+        const auto slowness = batch::slownessOf(m_schedulerState.speeds, assigned->worker);
         logEvent("run_assigned",
-            { { "run", describe(assigned->run) }, { "worker", m_state.workers.at(assigned->worker).report.id } });
+            { { "run", describe(assigned->run) }, { "worker", m_state.workers.at(assigned->worker).report.id },
+                { "slowness_percent", std::lround(slowness * percent) } });
         observeStart(*assigned);
         session->second->startRun(assigned->run);
     }
--- a/tests/batch/worker_speeds_test.cpp
+++ b/tests/batch/worker_speeds_test.cpp
@@ -61,6 +61,22 @@
     cr_assert_leq(wrongEstimates(speeds, workers), workers / 10);
 }
 
+// Guards against a metric that does not show the slow workers of a site.
+Test(workerSpeeds, workersAreCountedBySpeed)
+{
+    worker_speeds speeds;
+    std::mt19937 random(1);
+    constexpr int workers = 40;
+    for (int job = 0; job < 200; ++job)
+        runGang(speeds, job, workers, random);
+    std::size_t slow = 0;
+    for (int i = 0; i < workers; ++i)
+        slow += factorOf(workerAt(i)) > 1.3 ? 1 : 0;
+    const auto counts = countBySpeed(speeds);
+    cr_assert_eq(counts.slow, slow);
+    cr_assert_eq(counts.fast + counts.typical + counts.slow, workers);
+}
+
 // Guards against a worker that turns slow in mid-life and keeps the work that needs a fast one.
 Test(workerSpeeds, workerThatTurnsSlowIsNoticed)
 {
