--- a/chervilport/batch/urgent_reservation.cpp
+++ b/chervilport/batch/urgent_reservation.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <compare>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -73,10 +73,14 @@
         std::int32_t speedClass = 0;
         std::string_view id;
         std::size_t slot = 0;
-
-        auto operator<=>(const reservation_order&) const = default;
     };
 
+    bool isBefore(const reservation_order& left, const reservation_order& right)
+    {
+        return std::tie(left.rackSlowness, left.rackNumber, left.speedClass, left.id)
+            < std::tie(right.rackSlowness, right.rackNumber, right.speedClass, right.id);
+    }
+
     std::vector<reservation_order> orderUsableWorkers(const worker_slots& slots)
     {
         const auto slowness = rackSlowness(slots);
@@ -152,7 +156,7 @@
     auto order = orderUsableWorkers(slots);
     const auto count = std::min(order.size(), static_cast<std::size_t>(wanted));
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(order.begin(), end, order.end());
+    std::partial_sort(order.begin(), end, order.end(), isBefore);
     for (auto each = order.begin(); each != end; ++each)
         slots[each->slot].reservedForUrgent = true;
 }
