--- a/tests/batch/fake_site.cpp
+++ b/tests/batch/fake_site.cpp
@@ -128,4 +128,13 @@
     return report;
 }
 
+bool isWithinCapacity(const batch_state& state)
+{
+    for (const auto& [number, worker] : state.workers) {
+        if (!fitsInto(worker.used, worker.report.capacity))
+            return false;
+    }
+    return true;
+}
+
 } // namespace chervilport::batch_tests
--- a/tests/batch/fake_site.h
+++ b/tests/batch/fake_site.h
@@ -76,6 +76,9 @@
 /// Returns such a step as a gang.
 batch::step_spec gangStep(std::uint32_t count, std::int64_t accelerators);
 
+/// Returns whether the active runs of each worker fit into its capacity.
+bool isWithinCapacity(const batch::batch_state&);
+
 /// Returns a report of a worker of the size that `addWorkers` adds, in rack `r0`.
 batch::worker_report reportOf(const std::string& id, const std::string& address, std::int64_t incarnation);
 
