--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -193,11 +193,12 @@
     }
 
     /// A demand that did not fit on any worker in this pass. Steps of the same service that need at least as much, with
-    /// the same label or with any label if this one is empty, are not tried again.
+    /// the same label or with any label if this one is empty, are not tried again, unless they may use more workers.
     struct unplaceable_size {
         resource_demand demand;
         std::string service;
         std::string label;
+        bool mayUseUrgentReservation = false;
     };
 
     bool isUnplaceable(const std::vector<unplaceable_size>& sizes, const ready_step& ready, const std::string& service)
@@ -205,7 +206,8 @@
         const auto& spec = specOf(ready);
         const auto demand = chargedDemand(spec);
         return std::any_of(sizes.begin(), sizes.end(), [&](const unplaceable_size& size) {
-            return size.service == service && (size.label.empty() || size.label == spec.requiredLabel)
+            const bool mayUseMore = ready.mayUseUrgentReservation && !size.mayUseUrgentReservation;
+            return !mayUseMore && size.service == service && (size.label.empty() || size.label == spec.requiredLabel)
                 && fitsInto(size.demand, demand);
         });
     }
@@ -259,7 +261,8 @@
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
             if (!anyFits(current, each, service))
-                unplaceable.push_back({ chargedDemand(specOf(each)), service, specOf(each).requiredLabel });
+                unplaceable.push_back(
+                    { chargedDemand(specOf(each)), service, specOf(each).requiredLabel, each.mayUseUrgentReservation });
         }
         if (!mayPreempt)
             continue;
--- a/tests/batch/overload_test.cpp
+++ b/tests/batch/overload_test.cpp
@@ -107,3 +107,24 @@
     cr_assert_eq(site.activeRuns(fresh).size(), 8);
     cr_assert(site.activeRuns(old).empty());
 }
+
+// Load: an idle pool whose free workers are reserved for urgent jobs, a task that has waited long enough to use them,
+// and a fresh one of the same size that may not. Guards against the fresh task that hides the free workers from the
+// other.
+Test(overload, freshTaskDoesNotKeepAWaitingOneFromReservedWorkers)
+{
+    constexpr std::int64_t longWaitMs = 7'000;
+    fake_site site;
+    site.bounds.maxStopMs = slowStopMs;
+    site.addWorkers(16);
+    reserveForBursts(site, 8);
+    cr_assert_eq(placeBackground(site, stepOf(8, 5)), 8);
+    const auto waiting = site.submit(backgroundQueue, { stepOf(1, 4) });
+    site.pass();
+    cr_assert(site.activeRuns(waiting).empty());
+    site.advance(longWaitMs);
+    const auto fresh = site.submit(normalQueue, { stepOf(1, 4) });
+    site.pass();
+    cr_assert(site.activeRuns(fresh).empty());
+    cr_assert_eq(site.activeRuns(waiting).size(), 1);
+}
