Review case: a late farewell of an executor makes a task run twice

Promise: TWICE. A control machine that was frozen for 4 s relays the DELETE that an executor sent before it started again under its id; the new life is removed and its task starts elsewhere while it is at work.

--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -2,6 +2,7 @@
 // at its address. Usage: scenario RECORD
 
 #include "review/standin/deployment.h"
+#include "review/standin/run_spans.h"
 
 #include <thread>
 
@@ -14,42 +15,6 @@
 constexpr const char* task = "5c0e7a21d94b36f8.0.0.0";
 constexpr const char* workMs = "25000";
 
-/// A run of the task and when it was on an executor.
-struct run_span {
-    review::run_event start;
-    std::optional<review::run_event> end;
-};
-
-std::vector<run_span> spansOf(const std::vector<review::run_event>& events)
-{
-    std::vector<run_span> spans;
-    for (const auto& each : events) {
-        if (each.what == "start")
-            spans.push_back({ each, std::nullopt });
-        for (auto& span : spans) {
-            if (each.what != "start" && span.start.executor == each.executor && span.start.run == each.run)
-                span.end = each;
-        }
-    }
-    return spans;
-}
-
-/// Returns whether a run of the task began while another one was at work.
-bool hasOverlap(const std::vector<run_span>& spans, review::record& output)
-{
-    bool overlaps = false;
-    for (const auto& later : spans) {
-        for (const auto& earlier : spans) {
-            if (earlier.start.at < later.start.at && (!earlier.end || later.start.at < earlier.end->at)) {
-                output.line("run " + std::to_string(later.start.run) + " began on " + later.start.executor
-                    + " while run " + std::to_string(earlier.start.run) + " was at work on " + earlier.start.executor);
-                overlaps = true;
-            }
-        }
-    }
-    return overlaps;
-}
-
 int run(review::record& output)
 {
     review::deployment site(output);
@@ -81,7 +46,7 @@
 
     // Wait until the task has ended; a run that goes on ends within its work and the longest lease.
     std::this_thread::sleep_for(15s);
-    const bool overlaps = hasOverlap(spansOf(site.events()), output);
+    const bool overlaps = review::hasOverlap(site.events(), task, output);
     site.client(0, "GET", target);
     output.line(overlaps ? std::string("RESULT: TWICE is broken: ") + task + " ran twice at the same time"
                          : std::string("RESULT: held"));
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -98,10 +98,12 @@
 {
     std::vector<std::string> addresses;
     for (const auto& each : m_control)
-        addresses.push_back(addressOf(each.ip, controlPort));
+        addresses.push_back(controlAddress(each));
     return addresses;
 }
 
+std::string deployment::controlAddress(const node& machine) { return addressOf(machine.ip, controlPort); }
+
 std::string deployment::settingsOf(const node& machine, bool isFirstStart) const
 {
     const bool isControl = machine.role == "control";
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -72,7 +72,9 @@
     std::vector<node>& control() { return m_control; }
     std::vector<node>& entries() { return m_entries; }
     const std::vector<std::unique_ptr<executor>>& executors() const { return m_executors; }
+    /// Returns the addresses of the control machines, or that of one.
     std::vector<std::string> controlAddresses() const;
+    static std::string controlAddress(const node&);
     /// Returns an unused loopback address.
     std::string ip(std::size_t number) const { return m_prefix + std::to_string(number); }
     /// Returns all starts and ends on all executors.
--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -62,7 +62,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_isCutOff || m_hasCrashed)
+        if (m_isCutOff || m_hasCrashed || m_hasLeft)
             return;
     }
     // The named address is used until a heartbeat fails there; then the next node of the list is called.
@@ -94,10 +94,13 @@
 
 nlohmann::json executor::describe()
 {
-    return { { "service", m_options.service }, { "address", address() }, { "zone", m_options.zone },
-        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
+    nlohmann::json body { { "service", m_options.service }, { "address", address() }, { "zone", m_options.zone },
+        { "version", "v1" }, { "slots", 8 }, { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", 0 },
         { "capacity", { { "cpu", m_options.cpu }, { "mem_mb", m_options.memoryMb }, { "gpu", m_options.gpu } } },
         { "labels", { "a", m_options.rack } }, { "clock_ms", clockMs() }, { "born", m_born }, { "seq", ++m_sequence } };
+    if (m_isDraining)
+        body["drain_remaining_ms"] = m_options.drain.count();
+    return body;
 }
 
 void executor::setCutOff(bool isCutOff)
@@ -110,6 +113,56 @@
     m_changed.notify_all();
 }
 
+void executor::drain()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isDraining = true;
+    }
+    m_record.line(m_options.id + " drains");
+    beat();
+}
+
+bool executor::leave(const std::vector<std::string>& nodes)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hasLeft = true;
+    }
+    for (const auto& node : nodes) {
+        const auto response = call(node, { "DELETE", "/v1/instances/" + m_options.id, {}, {} }, 1s);
+        m_record.line(
+            "DELETE /v1/instances/" + m_options.id + " to " + node + " -> " + std::to_string(response.status));
+        if (response.status == ok)
+            return true;
+    }
+    return false;
+}
+
+void executor::restart()
+{
+    m_listener->closeConnections();
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto& [task, state] : m_running)
+            m_events.push_back({ m_options.id, task, state.run, "ended with its executor", now });
+        m_running.clear();
+        m_highestEnded.clear();
+        m_ends.clear();
+        m_lastEnd = 0;
+        m_sequence = 0;
+        m_fencingToken = 0;
+        m_leaseUntilMs = 0;
+        m_born = wallMs();
+        m_begin = now;
+        m_isDraining = false;
+        m_hasLeft = false;
+    }
+    m_record.line(m_options.id + " has started again under its id, born " + std::to_string(m_born));
+    beat();
+}
+
 void executor::crash()
 {
     {
--- a/review/standin/executor.h
+++ b/review/standin/executor.h
@@ -42,6 +42,7 @@
     std::chrono::milliseconds maxLease { 10'000 };
     std::chrono::milliseconds stopTime { 100 };
     std::chrono::milliseconds heartbeat { 1'500 };
+    std::chrono::milliseconds drain { 2'000 };
     /// Addresses of the nodes that serve heartbeats.
     std::vector<std::string> control;
 };
@@ -65,6 +66,16 @@
     /// While true, the network drops everything between this executor and the system. It runs on.
     void setCutOff(bool);
 
+    /// Reports `draining` from now on, at once and in later heartbeats.
+    void drain();
+
+    /// Tells the nodes in this order that it leaves, each for a second, until one acknowledges; returns whether one
+    /// did.
+    bool leave(const std::vector<std::string>& nodes);
+
+    /// Ends and starts again under its id and address: it holds and knows nothing of before.
+    void restart();
+
     /// Ends it for good: its runs end, its port is closed and it sends nothing more.
     void crash();
 
@@ -128,6 +139,8 @@
     std::int64_t m_leaseUntilMs = 0;
     bool m_isCutOff = false;
     bool m_hasCrashed = false;
+    bool m_isDraining = false;
+    bool m_hasLeft = false;
     std::atomic<bool> m_isStopped = false;
     std::string m_heartbeatUrl;
     std::size_t m_nextNode = 0;
