--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# Runs case 4; TROUBLE=0 leaves the disruption out.
-exec "$(dirname "$0")/../run-case.sh" 4
+# Runs this case; TROUBLE=0 leaves the disruption out.
+folder=$(cd "$(dirname "$0")" && pwd)
+exec "$folder/../run-case.sh" "$(basename "$folder")"
