--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -22,8 +22,8 @@
     pid_t pid = -1;
 };
 
-/// A small deployment on loopback addresses: one control and one entry machine in each of three zones, started with the
-/// commands of the deploy file, and executors. The destructor ends all processes that it started.
+/// A small deployment on loopback addresses: one control machine in each of three zones, entry machines, all started
+/// with the commands of the deploy file, and executors. The destructor ends all processes that it started.
 class deployment {
 public:
     /// Bounds that the settings files state; values of sites/ansanm-sched.toml.
@@ -32,15 +32,19 @@
     static constexpr std::int64_t visibleMs = 3'000;
     static constexpr std::int64_t holdMaxMs = 10'000;
 
+    /// Number of entry machines of a small deployment: one a zone.
+    static constexpr std::size_t fewEntries = 3;
+
     /// Takes free addresses and a temporary folder. Throws std::runtime_error.
-    explicit deployment(record&);
+    explicit deployment(record&, std::size_t entryCount = fewEntries);
     ~deployment();
 
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
 
-    /// Starts all processes, sends the first configuration and starts the executors, and waits until every entry
-    /// machine is ready and every executor has been acknowledged. Throws std::runtime_error when that takes too long.
+    /// Starts all processes, sends the first configuration and starts the executors, and waits until every executor has
+    /// been acknowledged and four fifths of the entry machines are ready, or all when they are few. Throws
+    /// std::runtime_error when that takes too long.
     void begin(const nlohmann::json& config, std::size_t executors, std::int64_t cpuOfExecutor);
 
     /// Sends a configuration until it is acknowledged.
@@ -66,6 +70,12 @@
     /// Returns the control machine that leads by its metrics, or null.
     node* leader();
 
+    /// Returns the numbers of the entry machines that say they are ready.
+    std::vector<std::size_t> readyEntries() const;
+
+    /// Sends SIGTERM to a process and waits for its end.
+    void terminate(node&);
+
     /// Ends all processes.
     void end();
 
