--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -17,6 +17,8 @@
 constexpr const char* job = "5c0e7a21d94b36f8";
 /// Time for which the machine is frozen.
 constexpr auto freezeTime = 4s;
+/// Time between the end of the executor and its next start.
+constexpr auto startTime = 300ms;
 
 std::string jobBody(std::int64_t count, std::int64_t workMs)
 {
@@ -48,7 +50,8 @@
 
     // An executor drains; the others get a task each that ends before the machine wakes.
     auto& leaving = *site.executors().front();
-    leaving.drain();
+    if (!leaving.drain())
+        return 2;
     std::this_thread::sleep_for(2500ms);
     const auto prefix = std::string(review::queuePrefix);
     if (site.clientUntilAnswered("POST", prefix + "aaaaaaaaaaaaaaaa", jobBody(3, 4'500)).status != ok
@@ -61,6 +64,7 @@
     if (isFrozen)
         site.signal(follower, SIGSTOP);
     const bool isAcknowledged = leaving.leave(followerFirst(site, follower));
+    std::this_thread::sleep_for(startTime);
     leaving.restart();
 
     // A job starts on it, since the other executors are full.
--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -12,6 +12,8 @@
 constexpr int ok = 200;
 constexpr int occurrences = 8;
 constexpr std::int64_t intervalMs = 1'000;
+/// Time for which nothing runs, as the rule states it.
+constexpr auto idleBound = 3s;
 constexpr const char* job = "5c0e7a21d94b36f8";
 
 /// Returns the numbers of the occurrences of which a task has started.
@@ -61,22 +63,30 @@
         state = parsed.is_object() ? parsed.value("state", std::string()) : std::string();
     }
 
-    // While it has not ended, an occurrence that never started has its turn; nothing runs for three seconds more.
+    // Every occurrence has its turn by now. One that has not started breaks the rule if nothing runs for three seconds:
+    // then all four executors are free, which is capacity for it many times over.
     const auto started = startedOccurrences(site.events());
     for (int number = 0; number < occurrences; ++number)
         output.line(
             "occurrence " + std::to_string(number) + (started.contains(number) ? " has run" : " never started"));
-    if (state == "completed") {
+    const bool isMissing = static_cast<int>(started.size()) < occurrences;
+    if (state == "completed" && !isMissing) {
         output.line("RESULT: held, the job is completed");
-        return static_cast<int>(started.size()) == occurrences ? 0 : 1;
+        return 0;
     }
-    const auto before = site.events().size();
-    std::this_thread::sleep_for(4s);
-    const bool isIdle = site.events().size() == before;
+    const auto deadline = std::chrono::steady_clock::now() + idleBound;
+    bool isIdle = true;
+    while (std::chrono::steady_clock::now() < deadline) {
+        for (const auto& each : site.executors())
+            isIdle = isIdle && each->runningCount() == 0;
+        std::this_thread::sleep_for(10ms);
+    }
+    isIdle = isIdle && startedOccurrences(site.events()).size() == started.size();
     output.line("state " + state + "; started occurrences: " + std::to_string(started.size()) + " of "
-        + std::to_string(occurrences) + "; four executors are " + (isIdle ? "idle" : "in use"));
-    output.line(isIdle ? "RESULT: LOST is broken" : "RESULT: undecided");
-    return isIdle ? 1 : 2;
+        + std::to_string(occurrences) + "; executors for three seconds: " + (isIdle ? "idle" : "in use"));
+    const bool isBroken = state == "running" && isMissing && isIdle;
+    output.line(isBroken ? "RESULT: LOST is broken" : "RESULT: undecided");
+    return isBroken ? 1 : 2;
 }
 
 } // namespace
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -189,7 +189,12 @@
 void deployment::terminate(node& machine)
 {
     signal(machine, SIGTERM);
-    ::waitpid(machine.pid, nullptr, 0);
+    const bool hasEnded = waitUntil(
+        std::chrono::seconds(graceSeconds), [&] { return ::waitpid(machine.pid, nullptr, WNOHANG) == machine.pid; });
+    if (!hasEnded) {
+        kill(machine);
+        return;
+    }
     machine.pid = -1;
     m_record.line(machine.name + " has ended");
 }
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -31,6 +31,7 @@
     static constexpr std::int64_t finishSeconds = 14;
     static constexpr std::int64_t visibleMs = 3'000;
     static constexpr std::int64_t holdMaxMs = 10'000;
+    static constexpr std::int64_t graceSeconds = 6;
 
     /// Number of entry machines of a small deployment: one a zone.
     static constexpr std::size_t fewEntries = 3;
@@ -73,7 +74,7 @@
     /// Returns the numbers of the entry machines that say they are ready.
     std::vector<std::size_t> readyEntries() const;
 
-    /// Sends SIGTERM to a process and waits for its end.
+    /// Sends SIGTERM to a process and waits for its end; sends SIGKILL after `grace_s`.
     void terminate(node&);
 
     /// Ends all processes.
--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -14,6 +14,8 @@
     constexpr int misdirected = 421;
     constexpr std::size_t maxListedEnds = 500;
     constexpr std::int64_t maxWaitMs = 2'000;
+    constexpr int fullPercent = 100;
+    constexpr const char* lastingSpec = "lasting";
 
 } // namespace
 
@@ -58,24 +60,26 @@
     });
 }
 
-void executor::beat()
+bool executor::beat()
 {
+    const std::lock_guard beatLock(m_beatMutex);
     {
         const std::lock_guard lock(m_mutex);
-        if (m_isCutOff || m_hasCrashed || m_hasLeft)
-            return;
+        if (m_hasLeft)
+            return false;
     }
     // The named address is used until a heartbeat fails there; then the next node of the list is called.
     for (std::size_t attempt = 0; attempt <= m_options.control.size() && !m_isStopped; ++attempt) {
         const bool isNamed = !m_heartbeatUrl.empty();
         const auto node = isNamed ? m_heartbeatUrl : m_options.control[m_nextNode % m_options.control.size()];
         if (sendHeartbeat(node) == ok)
-            return;
+            return true;
         if (isNamed)
             m_heartbeatUrl.clear();
         else
             ++m_nextNode;
     }
+    return false;
 }
 
 int executor::sendHeartbeat(const std::string& node)
@@ -103,29 +107,21 @@
     return body;
 }
 
-void executor::setCutOff(bool isCutOff)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_isCutOff = isCutOff;
-    }
-    m_record.line(m_options.id + (isCutOff ? " is cut off" : " is reachable again"));
-    m_changed.notify_all();
-}
-
-void executor::drain()
+bool executor::drain()
 {
     {
         const std::lock_guard lock(m_mutex);
         m_isDraining = true;
     }
-    m_record.line(m_options.id + " drains");
-    beat();
+    const bool isAcknowledged = beat();
+    m_record.line(m_options.id + " drains" + (isAcknowledged ? ", acknowledged" : ", not acknowledged"));
+    return isAcknowledged;
 }
 
 bool executor::leave(const std::vector<std::string>& nodes)
 {
     {
+        const std::lock_guard beatLock(m_beatMutex);
         const std::lock_guard lock(m_mutex);
         m_hasLeft = true;
     }
@@ -143,10 +139,12 @@
 {
     m_listener->closeConnections();
     {
+        const std::lock_guard beatLock(m_beatMutex);
         const std::lock_guard lock(m_mutex);
         const auto now = std::chrono::steady_clock::now();
-        for (const auto& [task, state] : m_running)
-            m_events.push_back({ m_options.id, task, state.run, "ended with its executor", now });
+        for (const auto& [key, state] : m_running)
+            m_events.push_back({ m_options.id, key.first, key.second, "ended with its executor", now });
+        m_heartbeatUrl.clear();
         m_running.clear();
         m_highestEnded.clear();
         m_ends.clear();
@@ -163,21 +161,6 @@
     beat();
 }
 
-void executor::crash()
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_hasCrashed = true;
-        const auto now = std::chrono::steady_clock::now();
-        for (const auto& [task, state] : m_running)
-            m_events.push_back({ m_options.id, task, state.run, "crashed", now });
-        m_running.clear();
-        m_ends.clear();
-    }
-    m_record.line(m_options.id + " is lost for good");
-    m_listener.reset();
-}
-
 std::vector<run_event> executor::events() const
 {
     const std::lock_guard lock(m_mutex);
@@ -187,16 +170,19 @@
 bool executor::endTask(const std::string& task, const std::string& how)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_running.contains(task))
+    const auto found = m_running.lower_bound({ task, 0 });
+    if (found == m_running.end() || found->first.first != task)
         return false;
-    end(task, how);
+    const auto key = found->first;
+    end(key, how);
     return true;
 }
 
 bool executor::isRunning(const std::string& task) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_running.contains(task);
+    const auto found = m_running.lower_bound({ task, 0 });
+    return found != m_running.end() && found->first.first == task;
 }
 
 std::size_t executor::runningCount() const
@@ -220,24 +206,20 @@
 std::optional<http_response> executor::handle(const http_request& request)
 {
     std::unique_lock lock(m_mutex);
-    // What arrives during the cut is lost, and the connection stays silent until the cut ends.
-    if (m_isCutOff) {
-        m_changed.wait(lock, [this] { return !m_isCutOff || m_isStopped; });
-        return std::nullopt;
-    }
     const auto expected = request.headers.find("x-chervilport-expect-instance");
     if (expected != request.headers.end() && expected->second != m_options.id)
         return answer(misdirected, nlohmann::json::object());
     auto response = execute(request, lock);
-    if (m_isCutOff || m_isStopped) {
-        m_changed.wait(lock, [this] { return !m_isCutOff || m_isStopped; });
+    if (m_isStopped)
         return std::nullopt;
-    }
     return response;
 }
 
 http_response executor::execute(const http_request& request, std::unique_lock<std::mutex>& lock)
 {
+    // The executor considers itself healthy.
+    if (request.method == "GET")
+        return answer(ok, nlohmann::json::object());
     const auto body = nlohmann::json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return answer(badRequest, nlohmann::json::object());
@@ -267,15 +249,17 @@
     if (until <= clockMs())
         return answer(conflict, { { "reason", "late" } });
     extendLease(until);
-    const auto current = m_running.find(task);
-    if (current != m_running.end() && current->second.run == run)
+    if (m_running.contains({ task, run }))
         return answer(ok, nlohmann::json::object());
     const auto ended = m_highestEnded.find(task);
-    if ((ended != m_highestEnded.end() && run <= ended->second) || current != m_running.end())
+    if (ended != m_highestEnded.end() && run <= ended->second)
         return answer(conflict, { { "reason", "old" } });
-    const auto work = std::chrono::milliseconds(std::stoll(body.value("spec", std::string("0"))));
+    const auto spec = body.value("spec", std::string("0"));
     const auto now = std::chrono::steady_clock::now();
-    m_running[task] = { run, now + work, false };
+    run_state state { now, std::nullopt, std::nullopt };
+    if (spec != lastingSpec)
+        state.work = std::chrono::milliseconds(std::stoll(spec));
+    m_running[{ task, run }] = state;
     m_events.push_back({ m_options.id, task, run, "start", now });
     m_record.line(m_options.id + " starts " + task + " run " + std::to_string(run));
     return answer(ok, nlohmann::json::object());
@@ -287,10 +271,9 @@
     const auto run = body.value("run", 0);
     auto& highest = m_highestEnded[task];
     highest = std::max(highest, run);
-    const auto current = m_running.find(task);
-    if (current != m_running.end() && current->second.run <= run && !current->second.isStopping) {
-        current->second.isStopping = true;
-        current->second.endsAt = std::chrono::steady_clock::now() + m_options.stopTime;
+    for (auto& [key, state] : m_running) {
+        if (key.first == task && key.second <= run && !state.stopAt)
+            state.stopAt = std::chrono::steady_clock::now() + m_options.stopTime;
     }
     return answer(ok, nlohmann::json::object());
 }
@@ -307,8 +290,8 @@
     const auto wait = std::chrono::milliseconds(std::min(body.value("wait_ms", std::int64_t { 0 }), maxWaitMs));
     m_changed.wait_for(lock, wait, [this] { return !m_ends.empty() || m_isStopped; });
     auto running = nlohmann::json::array();
-    for (const auto& [task, state] : m_running)
-        running.push_back({ task, state.run, "", 50, 0 });
+    for (const auto& [key, state] : m_running)
+        running.push_back({ key.first, key.second, "", percentOf(state), 0 });
     auto finished = nlohmann::json::array();
     for (const auto& each : m_ends) {
         if (finished.size() < maxListedEnds)
@@ -317,10 +300,10 @@
     return answer(ok, { { "running", running }, { "finished", finished } });
 }
 
-void executor::end(const std::string& task, const std::string& how)
+void executor::end(const run_key& key, const std::string& how)
 {
-    const auto run = m_running.at(task).run;
-    m_running.erase(task);
+    const auto [task, run] = key;
+    m_running.erase(key);
     auto& highest = m_highestEnded[task];
     highest = std::max(highest, run);
     m_events.push_back({ m_options.id, task, run, how, std::chrono::steady_clock::now() });
@@ -329,17 +312,28 @@
     m_changed.notify_all();
 }
 
+int executor::percentOf(const run_state& state)
+{
+    if (!state.work || state.work->count() == 0)
+        return fullPercent;
+    const auto elapsed = std::chrono::steady_clock::now() - state.startedAt;
+    const auto percent = fullPercent * std::chrono::duration_cast<std::chrono::milliseconds>(elapsed) / *state.work;
+    return static_cast<int>(std::min<std::int64_t>(percent, fullPercent));
+}
+
 void executor::tick()
 {
     const std::lock_guard lock(m_mutex);
     const auto now = std::chrono::steady_clock::now();
     const bool isExpired = clockMs() > m_leaseUntilMs;
     const auto running = m_running;
-    for (const auto& [task, state] : running) {
+    for (const auto& [key, state] : running) {
         if (isExpired)
-            end(task, "lapsed");
-        else if (now >= state.endsAt)
-            end(task, state.isStopping ? "stopped" : "done");
+            end(key, "lapsed");
+        else if (state.stopAt && now >= *state.stopAt)
+            end(key, "stopped");
+        else if (!state.stopAt && state.work && now >= state.startedAt + *state.work)
+            end(key, "done");
     }
 }
 
--- a/review/standin/executor.h
+++ b/review/standin/executor.h
@@ -11,8 +11,10 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -48,7 +50,7 @@
 };
 
 /// An executor as the users' pages describe it: it runs tasks under a lease, lists runs and ends, and sends heartbeats.
-/// The `spec` of a job is the work of each of its tasks in milliseconds.
+/// The `spec` of a job is the work of each of its tasks in milliseconds, or `lasting`.
 class executor {
 public:
     executor(executor_options, record&);
@@ -63,11 +65,8 @@
     /// Sends a heartbeat at once to the given node; returns the status.
     int sendHeartbeat(const std::string& node);
 
-    /// While true, the network drops everything between this executor and the system. It runs on.
-    void setCutOff(bool);
-
-    /// Reports `draining` from now on, at once and in later heartbeats.
-    void drain();
+    /// Reports `draining` from now on, at once and in later heartbeats; returns whether a node acknowledged it.
+    bool drain();
 
     /// Tells the nodes in this order that it leaves, each for a second, until one acknowledges; returns whether one
     /// did.
@@ -76,9 +75,6 @@
     /// Ends and starts again under its id and address: it holds and knows nothing of before.
     void restart();
 
-    /// Ends it for good: its runs end, its port is closed and it sends nothing more.
-    void crash();
-
     /// Returns all starts and ends so far.
     std::vector<run_event> events() const;
 
@@ -97,10 +93,14 @@
     const executor_options& options() const { return m_options; }
 
 private:
+    /// A task and the number of its run.
+    using run_key = std::pair<std::string, int>;
     struct run_state {
-        int run = 0;
-        steady_time endsAt;
-        bool isStopping = false;
+        steady_time startedAt;
+        /// Work; nothing for a lasting task.
+        std::optional<std::chrono::milliseconds> work;
+        /// When a requested stop completes.
+        std::optional<steady_time> stopAt;
     };
     struct listed_end {
         std::uint64_t number = 0;
@@ -118,9 +118,10 @@
     http_response answer(int status, nlohmann::json) const;
     std::int64_t clockMs() const;
     void extendLease(std::int64_t untilMs);
-    void end(const std::string& task, const std::string& how);
+    void end(const run_key&, const std::string& how);
+    static int percentOf(const run_state&);
     void tick();
-    void beat();
+    bool beat();
     nlohmann::json describe();
 
     executor_options m_options;
@@ -128,8 +129,10 @@
     std::int64_t m_born;
     steady_time m_begin;
     mutable std::mutex m_mutex;
+    /// Held while a heartbeat is sent. Locked before `m_mutex`.
+    std::mutex m_beatMutex;
     std::condition_variable m_changed;
-    std::map<std::string, run_state> m_running;
+    std::map<run_key, run_state> m_running;
     std::map<std::string, int> m_highestEnded;
     std::vector<listed_end> m_ends;
     std::vector<run_event> m_events;
@@ -137,8 +140,6 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_fencingToken = 0;
     std::int64_t m_leaseUntilMs = 0;
-    bool m_isCutOff = false;
-    bool m_hasCrashed = false;
     bool m_isDraining = false;
     bool m_hasLeft = false;
     std::atomic<bool> m_isStopped = false;
