Keep a record of every occurrence up to the one that is assigned

Cause: run_assigned of occurrence N set nextOccurrence to N + 1 and made a record for N only. Occurrences that wait together are assigned in the order of their rank, in time before late, so an earlier one was neither recorded nor listed any more. Evidence: after the restart the log assigns occurrence 2 first and never names occurrence 1.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -70,17 +70,21 @@
             endJob(state, found->second, job_phase::Cancelled);
     }
 
+    /// Adds records for the given occurrence and for all earlier ones without a record. Occurrences that wait together
+    /// can be assigned in any order, and one before `nextOccurrence` is ready only while it has a record.
+    void beginOccurrences(job_record& job, std::uint32_t last)
+    {
+        for (; job.nextOccurrence <= last; ++job.nextOccurrence)
+            job.occurrences.emplace(job.nextOccurrence, makeOccurrence(job.request));
+    }
+
     void apply(batch_state& state, const run_assigned& command)
     {
         const auto found = state.jobs.find(command.run.task.job);
         if (found == state.jobs.end() || found->second.phase != job_phase::Active)
             return;
         auto& job = found->second;
-        const auto number = command.run.task.occurrence;
-        if (number >= job.nextOccurrence) {
-            job.occurrences.emplace(number, makeOccurrence(job.request));
-            job.nextOccurrence = number + 1;
-        }
+        beginOccurrences(job, command.run.task.occurrence);
         const auto* const task = findTask(state, command.run.task);
         if (task == nullptr || task->done || task->worker != noWorker || command.run.run <= task->lastRun
             || !state.workers.contains(command.worker))
--- a/chervilport/batch/job_record.h
+++ b/chervilport/batch/job_record.h
@@ -84,9 +84,9 @@
     std::uint32_t occurrencesDone = 0;
     /// Number of active runs in all occurrences.
     std::uint32_t activeRuns = 0;
-    /// Started occurrences that are not done, by number.
+    /// Occurrences before `nextOccurrence` that are not done, by number.
     std::map<std::uint32_t, occurrence_record> occurrences;
-    /// Number of the first occurrence that has not started.
+    /// Number of the first occurrence without a record; all earlier ones have a record or are done.
     std::uint32_t nextOccurrence = 0;
 };
 
