Reserve places for the connections of group members

Cause: maxAcceptedConnections counted all instances alike. A follower that restarts gives up its place, an entry instance that waits for one takes it, and the follower's votes and responses, which travel on its own connection, never arrive; with both followers in that state nobody gets a majority. A new control instance could not join either. Evidence: 1,850 to 1,900 refused connections on each member in 60 s; leadership_lost 0.6 s after the second restart, then only pre-candidates.

Places are now counted by kind: not yet identified, reserved, shared. Configured peers and instances with the id of a possible member get a reserved one, so no number of other instances keeps members from each other. A reconnecting instance takes over the place of its earlier connection, and one that gets no place is told so in hello. Metrics show both kinds and the refusals.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -105,6 +105,8 @@
         else
             m_watch.disconnectedSince.emplace(member_id { instance }, monotonicNow());
     };
+    // A new instance of the group has to connect before the members know it.
+    hooks.hasReservedPlace = [](std::uint64_t instance) { return !isStateless(member_id { instance }); };
     m_network
         = std::make_shared<peer_network>(context, linkSettings(values), m_storage->incarnation(), std::move(hooks));
 
@@ -225,6 +227,12 @@
     metrics.set("chervilport_members", { { "part", "learner" } }, static_cast<double>(status.members.learners.size()));
     metrics.set("chervilport_commit_index", {}, static_cast<double>(status.commitIndex));
     metrics.set("chervilport_applied_index", {}, static_cast<double>(m_group->appliedIndex()));
+    const auto connections = m_network->counters();
+    metrics.set(
+        "chervilport_instance_connections", { { "place", "reserved" } }, static_cast<double>(connections.openReserved));
+    metrics.set(
+        "chervilport_instance_connections", { { "place", "shared" } }, static_cast<double>(connections.openShared));
+    metrics.set("chervilport_instance_connections_refused", {}, static_cast<double>(connections.refusals));
     metrics.set("chervilport_storage_failed", {}, m_group->hasFailed() ? 1 : 0);
     m_jobs->recordGauges();
 }
--- a/chervilport/control/node_address.cpp
+++ b/chervilport/control/node_address.cpp
@@ -42,6 +42,8 @@
     return member_id { numberOf(ip, port) | (marked << incarnationShift) };
 }
 
+bool isStateless(member_id id) { return (static_cast<std::uint64_t>(id) >> incarnationShift) != 0; }
+
 std::vector<member_id> idsOf(std::span<const peer_address> instances)
 {
     std::vector<member_id> ids;
--- a/chervilport/control/node_address.h
+++ b/chervilport/control/node_address.h
@@ -20,6 +20,9 @@
 /// Returns a member id for an instance without state, which has a new id in each incarnation.
 member_id statelessMember(std::string_view ip, std::uint16_t port, std::uint16_t incarnation);
 
+/// Returns whether a member id is that of an instance without state, which never takes part in a group.
+bool isStateless(member_id);
+
 /// Returns the member ids of instances.
 std::vector<member_id> idsOf(std::span<const peer_address>);
 
--- a/chervilport/instance/peer_network.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -125,6 +125,9 @@
     };
     callbacks.onConnected = [&self](member_id peer, std::uint64_t) { self.reportConnection(peer, true); };
     callbacks.onDisconnected = [&self](member_id peer) { self.reportConnection(peer, false); };
+    if (const auto& hasReservedPlace = self.hooks.hasReservedPlace)
+        callbacks.hasReservedPlace
+            = [hasReservedPlace](member_id peer) { return hasReservedPlace(static_cast<std::uint64_t>(peer)); };
     callbacks.onLog = [](const std::string& line) { logInfo(part, line); };
     self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks));
 }
--- a/chervilport/instance/peer_network.h
+++ b/chervilport/instance/peer_network.h
@@ -33,6 +33,9 @@
     std::function<void(std::shared_ptr<control_call>)> serve;
     /// Called when the outgoing connection to a peer is established or lost; may be empty.
     std::function<void(std::uint64_t instance, bool connected)> connectionChanged = {};
+    /// Returns whether the connection of an instance that is not a peer always gets a place; may be empty. The only
+    /// hook that is called on the transport thread.
+    std::function<bool(std::uint64_t instance)> hasReservedPlace = {};
 };
 
 /// Connects the control thread to the other instances over peer_transport. All functions are called on that thread.
--- a/chervilport/transport/detail/accepted_connection.cpp
+++ b/chervilport/transport/detail/accepted_connection.cpp
@@ -122,13 +122,13 @@
     , m_rpc(capnp::makeRpcServer(m_network, kj::heap<gate_server>(m_self)))
 {
     setKeepAlive(*m_stream);
-    ++m_server.m_openConnections;
 }
 
 accepted_connection::~accepted_connection()
 {
     *m_self = nullptr;
-    --m_server.m_openConnections;
+    m_server.m_places.release(m_place);
+    m_server.countOpenConnections();
     if (!m_peer)
         return;
     const auto found = m_server.m_sessions.find(*m_peer);
@@ -172,7 +172,10 @@
 {
     requireOrFail(!m_isHelloReceived, "only one hello is accepted on a connection");
     m_isHelloReceived = true;
-    if (const auto reason = checkHello(request)) {
+    auto reason = checkHello(request);
+    if (!reason && !takePlace(member_id { request.getInstanceId() }))
+        reason = wire::Refusal::TOO_MANY_CONNECTIONS;
+    if (reason) {
         reply.setRefusal(*reason);
         m_context.counters.update([](transport_counters& counters) { ++counters.refusals; });
         m_context.log("transport: refused " + nameOf(member_id { request.getInstanceId() }) + ": " + textOf(*reason));
@@ -185,6 +188,22 @@
     accepted.setIncarnation(m_context.identity.incarnation);
 }
 
+bool accepted_connection::takePlace(member_id peer)
+{
+    const auto place = m_server.placeOf(peer);
+    const auto earlier = m_server.m_sessions.find(peer);
+    if (m_server.m_places.tryTake(place)) {
+        m_server.m_places.release(std::exchange(m_place, place));
+    } else if (earlier != m_server.m_sessions.end() && earlier->second->m_place == place) {
+        // The earlier connection of the same instance is about to be closed; it keeps the place of this one until then.
+        std::swap(m_place, earlier->second->m_place);
+    } else {
+        return false;
+    }
+    m_server.countOpenConnections();
+    return true;
+}
+
 void accepted_connection::accept(wire::Hello::Reader request)
 {
     // Assign the connection to the instance, with the bytes counted before.
--- a/chervilport/transport/detail/accepted_connection.h
+++ b/chervilport/transport/detail/accepted_connection.h
@@ -40,6 +40,7 @@
 
 private:
     std::optional<wire::Refusal> checkHello(wire::Hello::Reader) const;
+    bool takePlace(member_id);
     void accept(wire::Hello::Reader);
     void countTraffic(std::uint64_t bytesIn, std::uint64_t bytesOut);
     void requireCurrent() const;
@@ -49,6 +50,7 @@
     transport_context& m_context;
     kj::Own<kj::AsyncIoStream> m_stream;
     packed_stream m_packed;
+    connection_place m_place = connection_place::Unidentified;
     std::optional<member_id> m_peer;
     std::uint64_t m_incarnation = 0;
     bool m_isHelloReceived = false;
--- a/chervilport/transport/detail/wire_codec.cpp
+++ b/chervilport/transport/detail/wire_codec.cpp
@@ -310,6 +310,8 @@
         return "different cluster id or secret";
     case wire::Refusal::OLD_INCARNATION:
         return "a newer incarnation has connected";
+    case wire::Refusal::TOO_MANY_CONNECTIONS:
+        return "too many connections are open";
     case wire::Refusal::OWN_ID:
         return "the instance id equals that of the listener";
     }
--- a/chervilport/transport/peer_transport.cpp
+++ b/chervilport/transport/peer_transport.cpp
@@ -15,6 +15,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -111,6 +112,12 @@
     // Destroy removed links before new links to the same peers connect.
     kept.clear();
 
+    // Reserve places for the connections of the peers.
+    std::set<member_id> ids;
+    for (const auto& each : newPeers)
+        ids.insert(each.address.id);
+    loop->server.reservePlaces(std::move(ids));
+
     // Create the missing links.
     for (const auto& each : newPeers) {
         auto& link = loop->links[each.address.id];
--- a/chervilport/transport/schema/peer.capnp
+++ b/chervilport/transport/schema/peer.capnp
@@ -136,6 +136,7 @@
   stranger @1;
   oldIncarnation @2;
   ownId @3;
+  tooManyConnections @4;
 }
 
 struct HelloReply {
--- a/chervilport/transport/transport_callbacks.h
+++ b/chervilport/transport/transport_callbacks.h
@@ -21,6 +21,9 @@
     std::function<void(member_id peer, std::uint64_t incarnation)> onConnected;
     /// The outgoing connection to a peer is lost.
     std::function<void(member_id peer)> onDisconnected;
+    /// Returns whether the connection of a peer always gets a place, whatever number of other instances is connected.
+    /// The configured peers get one without this callback.
+    std::function<bool(member_id peer)> hasReservedPlace;
     /// A message for the log.
     std::function<void(const std::string&)> onLog;
 };
--- a/chervilport/transport/transport_counters.h
+++ b/chervilport/transport/transport_counters.h
@@ -39,6 +39,10 @@
     std::map<member_id, peer_counters> peers;
     /// Connections accepted.
     std::uint64_t accepted = 0;
+    /// Accepted connections that are open and have completed `hello`, with a reserved place.
+    std::uint64_t openReserved = 0;
+    /// Accepted connections that are open and have completed `hello`, without a reserved place.
+    std::uint64_t openShared = 0;
     /// Incoming connections refused in `hello` or because of the bound on connections.
     std::uint64_t refusals = 0;
     /// Connections ended because of a malformed message.
--- a/tests/transport/transport_node.h
+++ b/tests/transport/transport_node.h
@@ -44,7 +44,13 @@
     explicit transport_node(std::uint64_t id, std::uint64_t incarnation = 1,
         transport_limits limits = limitsWithoutTimeout(), const std::string& secret = "secret",
         const std::string& cluster = "cluster", std::uint32_t protocol = 1)
-        : transport({ cluster, secret, member_id { id }, incarnation, protocol }, callbacks(), limits)
+        : transport({ cluster, secret, member_id { id }, incarnation, protocol }, recording({}), limits)
+    {
+    }
+
+    /// Creates a node with further callbacks, beside those that record.
+    transport_node(std::uint64_t id, std::uint64_t incarnation, transport_limits limits, transport_callbacks callbacks)
+        : transport({ "cluster", "secret", member_id { id }, incarnation, 1 }, recording(std::move(callbacks)), limits)
     {
     }
 
@@ -94,9 +100,8 @@
         changed.notify_all();
     }
 
-    transport_callbacks callbacks()
+    transport_callbacks recording(transport_callbacks result)
     {
-        transport_callbacks result;
         result.onDeliver = [this](member_id peer, envelope content) {
             record([&] { envelopes.emplace_back(peer, std::move(content)); });
         };
