--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -1,7 +1,7 @@
 #include "chervilport/control/batch_calls.h"
 
-#include "chervilport/batch/batch_apply.h"
 #include "chervilport/batch/config_check.h"
+#include "chervilport/batch/worker_admission.h"
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/logging/event_log.h"
 
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -5,6 +5,7 @@
 #include "chervilport/batch/job_admission.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/batch/worker_admission.h"
 #include "chervilport/control/batch_log.h"
 #include "chervilport/control/pass_pacing.h"
 #include "chervilport/control/worker_clock.h"
--- a/chervilport/control/batch_log.cpp
+++ b/chervilport/control/batch_log.cpp
@@ -1,9 +1,9 @@
 #include "chervilport/control/batch_log.h"
 
-#include "chervilport/batch/batch_apply.h"
 #include "chervilport/batch/batch_command.h"
 #include "chervilport/batch/batch_state.h"
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/batch/worker_admission.h"
 #include "chervilport/logging/event_log.h"
 #include "chervilport/metrics/metric_registry.h"
 
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -1,6 +1,6 @@
 #include "chervilport/control/control_node.h"
 
-#include "chervilport/batch/batch_apply.h"
+#include "chervilport/batch/worker_admission.h"
 #include "chervilport/consensus/membership_rules.h"
 #include "chervilport/control/node_address.h"
 #include "chervilport/core/chervilport_error.h"
--- a/tests/batch/site_rules_test.cpp
+++ b/tests/batch/site_rules_test.cpp
@@ -4,6 +4,7 @@
 #include "chervilport/batch/job_admission.h"
 #include "chervilport/batch/run_estimates.h"
 #include "chervilport/batch/urgent_reservation.h"
+#include "chervilport/batch/worker_admission.h"
 #include "chervilport/core/chervilport_error.h"
 #include "tests/batch/fake_site.h"
 
