Remove a worker only for the incarnation that has ended

The leader removed what was recorded under the id and placed the task elsewhere. Evidence: worker_left twice, 3 s apart, the second with draining=false runs=1, and stray_run_stopped on the worker 0.5 s later.

A leave call is now believed only while the recorded incarnation drains, and only after it has drained for as long as it said; a new incarnation reports ready first. incarnation_ended names the incarnation and changes nothing once a later one is recorded. The same cause on related paths: the answer of another worker at the earlier address of a worker ended its current incarnation, and took over its clock; and a session whose end was not committed ignored its worker for good. Both are mended here, with their tests.

Five tests; the four that compile on the code before fail there: batchCalls/lateLeaveOfAnEarlierIncarnationChangesNothing, batchCalls/leaveBeforeTheEndOfTheDrainChangesNothing, workerSession/mismatchAtAnEarlierAddressDoesNotEndTheCurrentIncarnation, workerSession/uncommittedEndOfAnIncarnationIsTriedAgain.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -195,6 +195,13 @@
         state.workers.erase(command.worker);
     }
 
+    void apply(batch_state& state, const incarnation_ended& command)
+    {
+        const auto* const worker = findWorker(state, command.worker);
+        if (worker != nullptr && worker->report.incarnation == command.incarnation)
+            apply(state, worker_ended { command.worker });
+    }
+
     void apply(batch_state& state, const worker_reported& command)
     {
         if (isOutdated(state, command.report))
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -135,6 +135,11 @@
     visitEach(archive, value.worker);
 }
 
+template <typename Archive> void visitFields(Archive& archive, incarnation_ended& value)
+{
+    visitEach(archive, value.worker, value.incarnation);
+}
+
 template <typename Archive> void visitFields(Archive& archive, worker_crashed& value)
 {
     visitEach(archive, value.worker, value.runs, value.unconfirmedRuns);
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -71,6 +71,14 @@
     worker_number worker = noWorker;
 };
 
+/// Removes a worker whose incarnation has ended, as `worker_ended` does, unless a later incarnation has been recorded
+/// under its number: the proof that one incarnation has ended says nothing about the next one.
+struct incarnation_ended {
+    worker_number worker = noWorker;
+    /// Start time of the incarnation that has ended, Unix milliseconds.
+    std::int64_t incarnation = 0;
+};
+
 /// Records that a worker crashed while these runs were active there. It ends no run: the worker may report again.
 struct worker_crashed {
     worker_number worker = noWorker;
@@ -93,7 +101,7 @@
 
 /// A command that changes the state. The order of the alternatives is part of the format of the log.
 using batch_command = std::variant<job_submitted, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
-    config_applied, worker_crashed, evacuation_changed>;
+    config_applied, worker_crashed, evacuation_changed, incarnation_ended>;
 
 /// Commands that are committed together.
 struct command_batch {
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -141,11 +141,25 @@
         done(call_result::Applied);
         return;
     }
-    jobs.propose(batch::worker_ended { worker->number }, [id, done = std::move(done)](proposal_result result) {
-        const bool committed = result == proposal_result::Committed;
-        logEvent("worker_left", { { "worker", id }, { "outcome", committed ? "committed" : "unknown" } });
-        done(committed ? call_result::Applied : call_result::Unknown);
-    });
+    const auto incarnation = worker->report.incarnation;
+    if (!jobs.canHaveLeft(*worker)) {
+        // The call is that of an earlier incarnation: one relayed by an instance that was suspended arrives seconds
+        // late. If it is not, the runs of the worker end with their leases.
+        logEvent("worker_leave_ignored",
+            { { "worker", id }, { "incarnation", incarnation },
+                { "condition", worker->report.draining ? "draining" : "ready" } },
+            log_level::Warning);
+        done(call_result::Applied);
+        return;
+    }
+    jobs.propose(batch::incarnation_ended { worker->number, incarnation },
+        [id, incarnation, done = std::move(done)](proposal_result result) {
+            const bool committed = result == proposal_result::Committed;
+            logEvent("worker_left",
+                { { "worker", id }, { "incarnation", incarnation },
+                    { "outcome", committed ? "committed" : "unknown" } });
+            done(committed ? call_result::Applied : call_result::Unknown);
+        });
 }
 
 } // namespace chervilport
--- a/chervilport/control/batch_calls.h
+++ b/chervilport/control/batch_calls.h
@@ -48,10 +48,12 @@
 /// Ends the evacuation of a failure domain. A domain that is not evacuated is left unchanged.
 void restoreDomain(batch_controller&, const std::string& failureDomain, call_result_callback);
 
-/// Records the report of a worker. A report that is outdated or equal to the recorded one changes nothing.
+/// Records the report of a worker. A report that is outdated, equal to the recorded one or of an unknown service
+/// changes nothing; a worker of a service that is configured later is recorded with its next report.
 void reportWorker(batch_controller&, batch::worker_report, call_result_callback);
 
-/// Removes a worker; an unknown worker counts as removed already.
+/// Removes a worker that has left as planned; an unknown worker counts as removed already. The call names no
+/// incarnation, so it changes nothing while the recorded one cannot have left: it then comes from an earlier one.
 void removeWorker(batch_controller&, const std::string& id, call_result_callback);
 
 } // namespace chervilport
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -89,6 +89,7 @@
         return;
     // Open sessions for new workers and send the start requests of new runs.
     updateSessions();
+    recordDrains(batch);
     startAssigned(batch);
     // Stop the runs of jobs that have ended, and of gangs that have lost a member.
     bool mayStop = false;
@@ -260,6 +261,25 @@
     }
 }
 
+void batch_controller::recordDrains(const batch::command_batch& batch)
+{
+    for (const auto& command : batch.commands) {
+        const auto* const reported = std::get_if<batch::worker_reported>(&command);
+        if (reported == nullptr || !reported->report.draining)
+            continue;
+        const auto* const worker = batch::findWorker(m_state, reported->report.id);
+        const auto session = worker == nullptr ? m_sessions.end() : m_sessions.find(worker->number);
+        if (session != m_sessions.end())
+            session->second->beginDrain(monotonicNow() + std::chrono::milliseconds(worker->report.drainRemainingMs));
+    }
+}
+
+bool batch_controller::canHaveLeft(const batch::worker_record& worker) const
+{
+    const auto session = m_sessions.find(worker.number);
+    return worker.report.draining && (session == m_sessions.end() || session->second->canHaveDrained(monotonicNow()));
+}
+
 session_host batch_controller::makeHost(batch::worker_number number)
 {
     session_host host;
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -76,6 +76,10 @@
     /// Proposes a changed report of a worker, after the crash of each worker that it replaces; leader only.
     void proposeReport(batch::worker_report, command_queue::callback);
 
+    /// Returns whether a worker can have left as planned: its recorded incarnation drains, and for as long as it said
+    /// at least. Leader only.
+    bool canHaveLeft(const batch::worker_record&) const;
+
     /// Proposes a command; leader only.
     void propose(batch::batch_command, command_queue::callback);
 
@@ -86,6 +90,7 @@
     void stepDown();
     void tick();
     void updateSessions();
+    void recordDrains(const batch::command_batch&);
     void stopEndedJobs();
     void abortGangs(const batch::command_batch&);
     void stopGang(const gang_run&, const char* reason);
--- a/chervilport/control/batch_log.cpp
+++ b/chervilport/control/batch_log.cpp
@@ -36,6 +36,17 @@
         }
     }
 
+    /// Returns the worker that a command removes, or null.
+    const batch::worker_record* removedWorker(const batch::batch_state& state, const batch::batch_command& command)
+    {
+        if (const auto* const removed = std::get_if<batch::worker_ended>(&command))
+            return batch::findWorker(state, removed->worker);
+        const auto* const ended = std::get_if<batch::incarnation_ended>(&command);
+        const auto* const worker = ended == nullptr ? nullptr : batch::findWorker(state, ended->worker);
+        const bool isCurrent = worker != nullptr && worker->report.incarnation == ended->incarnation;
+        return isCurrent ? worker : nullptr;
+    }
+
     void logCrashedRun(const batch::batch_state& state, const batch::run_ref& run, bool isConfirmed)
     {
         const auto* const job = batch::findJob(state, run.task.job);
@@ -88,9 +99,7 @@
 void logEndedWorkers(const batch::batch_state& state, const batch::command_batch& batch, metric_registry& metrics)
 {
     for (const auto& command : batch.commands) {
-        const auto* const ended = std::get_if<batch::worker_ended>(&command);
-        const auto* const worker = ended == nullptr ? nullptr : batch::findWorker(state, ended->worker);
-        if (worker != nullptr)
+        if (const auto* const worker = removedWorker(state, command))
             logEndedWorker(state, *worker, "removed", batch.timeMs, metrics);
         const auto* const reported = std::get_if<batch::worker_reported>(&command);
         if (reported == nullptr || batch::isOutdated(state, reported->report))
--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -17,6 +17,12 @@
         log_level::Warning);
 }
 
+void logOutdatedMismatch(std::string_view worker, std::int64_t requested, std::int64_t recorded)
+{
+    logEvent("worker_mismatch_outdated", { { "worker", worker }, { "requested", requested }, { "recorded", recorded } },
+        log_level::Warning);
+}
+
 void logWorkerUnreachable(std::string_view worker, const worker_result& result, std::size_t runs)
 {
     logEvent("worker_unreachable",
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -20,6 +20,9 @@
 /// The worker is a new incarnation; both are start times, Unix milliseconds.
 void logWorkerRestarted(std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs);
 
+/// Another worker answered a request that was sent to an earlier incarnation; both are start times, Unix milliseconds.
+void logOutdatedMismatch(std::string_view worker, std::int64_t requested, std::int64_t recorded);
+
 /// A poll failed for the first time since the last response.
 void logWorkerUnreachable(std::string_view worker, const worker_result&, std::size_t runs);
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -22,6 +22,10 @@
     /// Time for which a worker that responds as unhealthy gets no new runs.
     constexpr std::chrono::milliseconds unhealthyBackoff { 2'000 };
 
+    /// Time that a report takes at most until it is recorded: a worker sends it again after a second without a
+    /// response.
+    constexpr std::chrono::milliseconds maxReportDelay { 1'000 };
+
     std::string workerName(const batch::worker_record* worker)
     {
         return worker == nullptr ? "unknown" : worker->report.id;
@@ -140,16 +144,20 @@
         request.wait = pollWait;
     m_pollInFlight = true;
     m_pollAgain = false;
-    m_host.client->poll(target(), request, [self = shared_from_this(), now](const poll_response& response) {
-        self->m_pollInFlight = false;
-        if (!self->m_closed && !self->m_incarnationEnded)
-            self->handlePoll(response, now);
-    });
+    m_host.client->poll(target(), request,
+        [self = shared_from_this(), now, incarnation = recordedIncarnation()](const poll_response& response) {
+            self->m_pollInFlight = false;
+            if (!self->m_closed && !self->m_incarnationEnded)
+                self->handlePoll(response, now, incarnation);
+        });
 }
 
 void worker_session::recordResult(const worker_result& result)
 {
     m_now = monotonicNow();
+    // Another worker responded, with its own clock.
+    if (result.reply == worker_reply::IncarnationMismatch)
+        return;
     // Another incarnation numbers its ends from 1 again, so do not acknowledge them with the earlier numbers.
     if (result.clockMs && isOfAnotherIncarnation(m_clock, *result.clockMs)) {
         m_acknowledgedEnd = 0;
@@ -159,11 +167,11 @@
         recordReading(m_clock, *result.clockMs, m_now);
 }
 
-void worker_session::handlePoll(const poll_response& response, log_time sentAt)
+void worker_session::handlePoll(const poll_response& response, log_time sentAt, std::int64_t polledIncarnation)
 {
     recordResult(response.result);
     if (response.result.reply != worker_reply::Done) {
-        handleFailedPoll(response.result);
+        handleFailedPoll(response.result, polledIncarnation);
         return;
     }
     const auto* const worker = record();
@@ -230,12 +238,10 @@
     }
 }
 
-void worker_session::handleFailedPoll(const worker_result& result)
+void worker_session::handleFailedPoll(const worker_result& result, std::int64_t incarnation)
 {
-    if (result.reply == worker_reply::IncarnationMismatch) {
-        endIncarnation("other life at its address");
+    if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
         return;
-    }
     ++m_failedPolls;
     if (m_failedPolls == 1) {
         logWorkerUnreachable(workerName(record()), result, m_runs.size());
@@ -351,10 +357,11 @@
     ++tracker.attempts;
     tracker.startedFromScratch = tracker.attempts == 1 && request.checkpoint.empty();
     tracker.phase = start_phase::InFlight;
-    m_host.client->start(
-        target(), request, [self = shared_from_this(), run = tracker.run](const worker_result& result) {
+    m_host.client->start(target(), request,
+        [self = shared_from_this(), run = tracker.run, incarnation = recordedIncarnation()](
+            const worker_result& result) {
             if (!self->m_closed && !self->m_incarnationEnded)
-                self->handleStart(run, result);
+                self->handleStart(run, result, incarnation);
         });
 }
 
@@ -374,13 +381,11 @@
     sendStop(tracker);
 }
 
-void worker_session::handleStart(const batch::run_ref& run, const worker_result& result)
+void worker_session::handleStart(const batch::run_ref& run, const worker_result& result, std::int64_t incarnation)
 {
     recordResult(result);
-    if (result.reply == worker_reply::IncarnationMismatch) {
-        endIncarnation("other life at its address");
+    if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
         return;
-    }
     const auto found = m_runs.find(run);
     if (found == m_runs.end())
         return;
@@ -434,30 +439,28 @@
         return;
     tracker.stopInFlight = true;
     const stop_request request { tracker.run, m_host.term };
-    const auto handle
-        = [self = shared_from_this(), run = tracker.run, incarnation = m_incarnation](const worker_result& result) {
-              if (self->m_closed || self->m_incarnationEnded)
-                  return;
-              self->recordResult(result);
-              if (result.reply == worker_reply::IncarnationMismatch) {
-                  self->endIncarnation("other life at its address");
-                  return;
-              }
-              const auto found = self->m_runs.find(run);
-              // A stop that an earlier incarnation confirmed does not prevent a start in the current one.
-              if (found == self->m_runs.end() || incarnation != self->m_incarnation)
-                  return;
-              const auto attempt = ++found->second.stopAttempts;
-              // A stop is retried until it is confirmed; log only the first and the last attempt.
-              if (attempt == 1 || result.reply == worker_reply::Done)
-                  logRunRequest("run_stop_sent", run, workerName(self->record()), result, attempt);
-              found->second.stopInFlight = false;
-              if (result.reply != worker_reply::Done)
-                  return;
-              found->second.stopConfirmed = true;
-              found->second.stopConfirmedAt = self->m_now;
-              self->m_pollAgain = true;
-          };
+    const auto handle = [self = shared_from_this(), run = tracker.run, incarnation = m_incarnation,
+                            recorded = recordedIncarnation()](const worker_result& result) {
+        if (self->m_closed || self->m_incarnationEnded)
+            return;
+        self->recordResult(result);
+        if (result.reply == worker_reply::IncarnationMismatch && self->endIncarnation(recorded))
+            return;
+        const auto found = self->m_runs.find(run);
+        // A stop that an earlier incarnation confirmed does not prevent a start in the current one.
+        if (found == self->m_runs.end() || incarnation != self->m_incarnation)
+            return;
+        const auto attempt = ++found->second.stopAttempts;
+        // A stop is retried until it is confirmed; log only the first and the last attempt.
+        if (attempt == 1 || result.reply == worker_reply::Done)
+            logRunRequest("run_stop_sent", run, workerName(self->record()), result, attempt);
+        found->second.stopInFlight = false;
+        if (result.reply != worker_reply::Done)
+            return;
+        found->second.stopConfirmed = true;
+        found->second.stopConfirmedAt = self->m_now;
+        self->m_pollAgain = true;
+    };
     m_host.client->stop(target(), request, handle);
 }
 
@@ -507,15 +510,45 @@
         poll();
 }
 
-void worker_session::endIncarnation(const char* reason)
+std::int64_t worker_session::recordedIncarnation() const
 {
-    if (m_incarnationEnded)
-        return;
+    const auto* const worker = record();
+    return worker == nullptr ? 0 : worker->report.incarnation;
+}
+
+bool worker_session::endIncarnation(std::int64_t incarnation)
+{
+    // The request was sent to the address of an earlier incarnation; the current one may be elsewhere.
+    if (incarnation != recordedIncarnation()) {
+        logOutdatedMismatch(workerName(record()), incarnation, recordedIncarnation());
+        return false;
+    }
     m_incarnationEnded = true;
     reportCrash();
-    logEvent("worker_life_ended", { { "worker", workerName(record()) }, { "reason", reason } }, log_level::Warning);
-    m_host.propose(batch::worker_ended { m_worker }, [](proposal_result) {});
+    logEvent("worker_life_ended", { { "worker", workerName(record()) }, { "reason", "other life at its address" } },
+        log_level::Warning);
+    m_host.propose(batch::incarnation_ended { m_worker, incarnation },
+        [self = shared_from_this()](proposal_result) { self->resumeUnlessRemoved(); });
     m_host.changed();
+    return true;
 }
 
+void worker_session::resumeUnlessRemoved()
+{
+    if (m_closed || record() == nullptr)
+        return;
+    // A later incarnation was recorded first, or the command was not committed. Responses that arrived meanwhile were
+    // ignored, so send the requests again.
+    m_incarnationEnded = false;
+    for (auto& [run, tracker] : m_runs) {
+        tracker.stopInFlight = false;
+        if (tracker.phase != start_phase::InFlight)
+            continue;
+        tracker.phase = start_phase::Retry;
+        tracker.mayHaveArrived = true;
+    }
+}
+
+bool worker_session::canHaveDrained(log_time now) const { return now + maxReportDelay >= m_earliestEnd; }
+
 } // namespace chervilport
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -42,6 +42,13 @@
     /// was draining. Called when its incarnation has ended.
     void reportCrash();
 
+    /// Records that the worker drains and when it leaves at the earliest, as it reported.
+    void beginDrain(log_time earliestEnd) { m_earliestEnd = earliestEnd; }
+
+    /// Returns whether the worker can have left by now, if it drains. A session that has not seen the begin of the
+    /// drain does not know, and returns true.
+    bool canHaveDrained(log_time now) const;
+
     /// Processes timeouts: retries requests without a response and ends runs whose lease has expired.
     void tick(log_time now);
 
@@ -49,8 +56,8 @@
     const batch::worker_record* record() const;
     worker_target target() const;
     void poll();
-    void handlePoll(const poll_response&, log_time sentAt);
-    void handleFailedPoll(const worker_result&);
+    void handlePoll(const poll_response&, log_time sentAt, std::int64_t incarnation);
+    void handleFailedPoll(const worker_result&, std::int64_t incarnation);
     void recordResult(const worker_result&);
     bool hasRestarted() const;
     void proposeCrash(const std::set<batch::run_ref>& executedSince);
@@ -63,7 +70,7 @@
     void sendStart(run_tracker&);
     void withholdStart(run_tracker&, const batch::worker_record&);
     void abandonStart(run_tracker&);
-    void handleStart(const batch::run_ref&, const worker_result&);
+    void handleStart(const batch::run_ref&, const worker_result&, std::int64_t incarnation);
     void retryOrAbandon(run_tracker&, const worker_result&);
     void sendStop(run_tracker&);
     void confirmStart(run_tracker&);
@@ -71,7 +78,9 @@
     void proposeEnd(run_tracker&, batch::run_end_kind);
     void handleUncommittedEnd(const batch::run_ref&, batch::run_end_kind, proposal_result);
     void afterProposal();
-    void endIncarnation(const char* reason);
+    std::int64_t recordedIncarnation() const;
+    bool endIncarnation(std::int64_t incarnation);
+    void resumeUnlessRemoved();
 
     session_host m_host;
     batch::worker_number m_worker;
@@ -84,6 +93,8 @@
     log_time m_now;
     log_time m_nextPoll;
     log_time m_unhealthyUntil;
+    /// Earliest end of a worker that drains.
+    log_time m_earliestEnd;
     std::uint64_t m_acknowledgedEnd = 0;
     std::uint64_t m_lastListedEnd = 0;
     int m_failedPolls = 0;
--- a/tests/batch/batch_apply_test.cpp
+++ b/tests/batch/batch_apply_test.cpp
@@ -149,6 +149,24 @@
     cr_assert_eq(site.pass().assigned.size(), 1);
 }
 
+// Guards against the removal of a worker that has started again under its id, by a command that was proposed for its
+// earlier incarnation and committed after the report of the later one.
+Test(batchApply, endOfAnIncarnationDoesNotEndTheNextOne)
+{
+    fake_site site;
+    site.addWorkers(1);
+    const auto id = site.submit(normalQueue, { stepOf(1, 8) });
+    const auto& worker = site.state().workers.begin()->second;
+    const auto earlier = worker.report.incarnation;
+    site.apply(worker_reported { reportOf("w0", worker.report.address, 900'000) });
+    site.pass();
+    site.apply(incarnation_ended { worker.number, earlier });
+    cr_assert_eq(site.activeRuns(id).size(), 1);
+    site.apply(incarnation_ended { worker.number, 900'000 });
+    cr_assert(site.state().workers.empty());
+    cr_assert(site.activeRuns(id).empty());
+}
+
 // Guards against a delayed report of an earlier incarnation that restores an ended worker.
 Test(batchApply, delayedReportsAreIgnored)
 {
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -67,6 +67,28 @@
     return config;
 }
 
+batch::worker_report reportOf(std::int64_t incarnation, std::uint64_t sequence, bool draining)
+{
+    batch::worker_report report;
+    report.id = "w";
+    report.address = "10.0.0.1:80";
+    report.service = "pool";
+    report.incarnation = incarnation;
+    report.capacity = { 1'000, 1'000, 1 };
+    report.sequence = sequence;
+    report.draining = draining;
+    return report;
+}
+
+void becomeLeader(batch_controller& jobs)
+{
+    replica_status status;
+    status.role = replica_role::Leader;
+    status.ready = true;
+    status.term = 1;
+    jobs.handleStatus(status);
+}
+
 batch::job_request requestOf(const std::string& id)
 {
     batch::job_request request;
@@ -135,3 +157,41 @@
     cr_assert(fixture.results.back() == call_result::Applied);
     cr_assert(fixture.jobs->state().evacuatedDomains.empty());
 }
+
+// Guards against a worker in use that is removed, so that its tasks run twice: it has started again under its id, and
+// an instance that was suspended relays the leave call of its earlier incarnation.
+Test(batchCalls, lateLeaveOfAnEarlierIncarnationChangesNothing)
+{
+    calls_fixture fixture;
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
+    fixture.run();
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.jobs->state().workers.empty());
+    reportWorker(*fixture.jobs, reportOf(20, 1, false), fixture.recordResult());
+    fixture.run();
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    cr_assert_eq(fixture.jobs->state().workers.size(), 1);
+    cr_assert(fixture.results.back() == call_result::Applied);
+}
+
+// Guards against the same removal when the later incarnation drains as well, but not for as long as it said it would.
+Test(batchCalls, leaveBeforeTheEndOfTheDrainChangesNothing)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    auto report = reportOf(20, 1, true);
+    report.drainRemainingMs = 60'000;
+    reportWorker(*fixture.jobs, report, fixture.recordResult());
+    fixture.run();
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    cr_assert_eq(fixture.jobs->state().workers.size(), 1);
+}
--- a/tests/control/worker_restart_test.cpp
+++ b/tests/control/worker_restart_test.cpp
@@ -217,3 +217,42 @@
     fixture.runReady();
     cr_assert_eq(fixture.crashes(), 0);
 }
+
+// Guards against two runs of a task at once: the worker has started again elsewhere under its id, and another worker
+// answers a request that was sent to its earlier address.
+Test(workerSession, mismatchAtAnEarlierAddressDoesNotEndTheCurrentIncarnation)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.pollReplies = { worker_reply::IncarnationMismatch };
+    fixture.worker.incarnation = 99;
+    fixture.worker.running = { { firstRun, "", 0 } };
+    const auto session = fixture.makeSession(monotonicNow() + 60s);
+    session->open();
+    auto moved = fixture.state.workers.at(fixture.number).report;
+    moved.address = "10.0.0.2:80";
+    moved.incarnation = 99;
+    fixture.apply(batch::worker_reported { moved });
+    fixture.runReady();
+    cr_assert_eq(fixture.state.workers.size(), 1);
+    session->tick(monotonicNow() + 1s);
+    fixture.runReady();
+    cr_assert(session->hasStarted(firstRun));
+    cr_assert(fixture.ends().empty());
+}
+
+// Guards against a worker that gets no work any more: the end of its incarnation was not committed, and its session
+// goes on to ignore all responses.
+Test(workerSession, uncommittedEndOfAnIncarnationIsTriedAgain)
+{
+    session_fixture fixture;
+    fixture.worker.pollReplies = { worker_reply::IncarnationMismatch, worker_reply::IncarnationMismatch };
+    fixture.failedProposals = { proposal_result::Unknown };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    cr_assert_eq(fixture.state.workers.size(), 1);
+    session->tick(monotonicNow() + 1s);
+    fixture.runReady();
+    cr_assert(fixture.state.workers.empty());
+}
