Ignore worker reports of services that no configuration names

Evidence: worker_ended reason="replaced by x-1" runs=1, then worker_life_ended for x-1, as the worker never answered to that id.

The leader ignores such a report, unless the recorded worker is of that service, which may have left the configuration while its workers drain. Reports before the first configuration are recorded with the next heartbeat. The fake pool of the tests now waits for its configuration before its workers report. batchCalls/reportOfAnUnknownServiceEndsNoWorker fails on the code before.

--- a/chervilport/batch/worker_admission.cpp
+++ b/chervilport/batch/worker_admission.cpp
@@ -53,4 +53,13 @@
     });
 }
 
+bool isOfUnknownService(const batch_state& state, const worker_report& report)
+{
+    const auto& services = state.config.services;
+    if (std::find(services.begin(), services.end(), report.service) != services.end())
+        return false;
+    const auto* const worker = findWorker(state, report.id);
+    return worker == nullptr || worker->report.service != report.service;
+}
+
 } // namespace chervilport::batch
--- a/chervilport/batch/worker_admission.h
+++ b/chervilport/batch/worker_admission.h
@@ -17,4 +17,8 @@
 /// at its address, is not newer than the recorded report, or reverts the draining of the worker.
 bool isOutdated(const batch_state&, const worker_report&);
 
+/// Returns whether a report must be ignored because no configured service is named in it, unless it comes from a
+/// recorded worker of that service. It may name the id or the address of a worker in use without being its report.
+bool isOfUnknownService(const batch_state&, const worker_report&);
+
 } // namespace chervilport::batch
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -124,6 +124,14 @@
         done(call_result::Applied);
         return;
     }
+    if (batch::isOfUnknownService(jobs.state(), report)) {
+        logEvent("worker_report_ignored",
+            { { "worker", report.id }, { "address", report.address }, { "service", report.service },
+                { "config_version", jobs.state().config.version } },
+            log_level::Warning);
+        done(call_result::Applied);
+        return;
+    }
     const auto id = report.id;
     const char* const condition = report.draining ? "draining" : "ready";
     jobs.proposeReport(std::move(report), [id, condition, done = std::move(done)](proposal_result result) {
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -195,3 +195,44 @@
     fixture.run();
     cr_assert_eq(fixture.jobs->state().workers.size(), 1);
 }
+
+// Guards against a worker in use that is replaced, so that its tasks run twice: another writer sends a report with its
+// address, or with its id, and a service that no configuration names.
+Test(batchCalls, reportOfAnUnknownServiceEndsNoWorker)
+{
+    calls_fixture fixture;
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+    auto foreign = reportOf(20, 1, false);
+    foreign.service = "other";
+    for (const auto* const id : { "w", "x" }) {
+        foreign.id = id;
+        reportWorker(*fixture.jobs, foreign, fixture.recordResult());
+        fixture.run();
+        cr_assert_eq(fixture.jobs->state().workers.size(), 1);
+        const auto& recorded = fixture.jobs->state().workers.begin()->second.report;
+        cr_assert(recorded.id == "w" && recorded.service == "pool");
+        cr_assert(fixture.results.back() == call_result::Applied);
+    }
+}
+
+// Guards against a worker that gets new runs while it drains, because its service was removed from the configuration
+// for a while and its reports were ignored meanwhile.
+Test(batchCalls, workerOfARemovedServiceIsStillRecordedAsDraining)
+{
+    calls_fixture fixture;
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+    auto without = configOf(2);
+    without.services = { "later" };
+    without.queues.front().service = "later";
+    applyConfig(*fixture.jobs, without, fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.jobs->state().workers.begin()->second.report.draining);
+}
--- a/tests/control/fake_pool.cpp
+++ b/tests/control/fake_pool.cpp
@@ -42,6 +42,7 @@
     queue.maxAttempts = 2;
     config.queues = { queue };
     applyConfig(*m_jobs, config, [](call_result) {});
+    runUntil([this] { return m_jobs->state().config.version == 1; });
     for (int i = 0; i < workers; ++i)
         report(i);
 }
