--- a/chervilport/instance/json_reader.cpp
+++ b/chervilport/instance/json_reader.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/instance/json_reader.h"
 
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/core/json_nesting.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -9,8 +10,8 @@
 
 namespace {
 
-    // Deeper documents are refused during parsing, because they could exhaust the stack.
-    constexpr int maxDepth = 16;
+    // Deeper documents are refused before parsing, because they could exhaust the memory.
+    constexpr std::size_t maxDepth = 16;
 
     std::string rangeText(std::int64_t lowest, std::int64_t highest)
     {
@@ -120,15 +121,9 @@
 
 nlohmann::json parseJsonObject(std::string_view text)
 {
-    // Stop parsing at the maximum depth.
-    bool tooDeep = false;
-    const auto checkDepth = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
-        tooDeep |= depth > maxDepth;
-        return !tooDeep;
-    };
-    auto document = nlohmann::json::parse(text, checkDepth, false);
-    if (tooDeep)
+    if (isNestedDeeperThan(text, maxDepth))
         throw chervilport_error(error_kind::InvalidRequest, "the body is nested too deeply");
+    auto document = nlohmann::json::parse(text, nullptr, false);
     if (document.is_discarded())
         throw chervilport_error(error_kind::InvalidRequest, "the body is not valid JSON");
     if (!document.is_object())
--- a/chervilport/requests/announcement_codec.cpp
+++ b/chervilport/requests/announcement_codec.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/requests/announcement_codec.h"
 
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/core/json_nesting.h"
 
 #include <algorithm>
 #include <array>
@@ -14,6 +15,8 @@
     using json = nlohmann::json;
 
     constexpr std::size_t maxTextBytes = 128;
+    /// An announcement is a flat object.
+    constexpr std::size_t maxDepth = 4;
     constexpr std::int64_t maxSlots = 4096;
     constexpr std::int64_t maxConnections = 65536;
     constexpr std::array<std::string_view, 3> stateNames = { "ready", "leaving", "gone" };
@@ -63,6 +66,8 @@
 upstream_announcement parseExecutorAnnouncement(std::string_view body)
 {
     constexpr auto largest = std::numeric_limits<std::int64_t>::max();
+    if (isNestedDeeperThan(body, maxDepth))
+        throw chervilport_error(error_kind::InvalidRequest, "the announcement is nested too deeply");
     const auto document = json::parse(body.begin(), body.end(), nullptr, false);
     if (!document.is_object())
         throw chervilport_error(error_kind::InvalidRequest, "the announcement must be a JSON object");
--- a/tests/platform/damaged_messages_test.cpp
+++ b/tests/platform/damaged_messages_test.cpp
@@ -135,3 +135,78 @@
     for (const int status : { 200, 400, 409, 503 })
         checkDamaged("look-answer.json", [status](const std::string& body) { readResult(status, body); });
 }
+
+// Guards against a heartbeat of another writer that passes for one of a worker: each documented field is missing once,
+// and once of another type.
+Test(damagedMessages, heartbeatWithoutADocumentedFieldIsRefused)
+{
+    const auto good = goldenDocument("heartbeat.json");
+    for (const auto* const key :
+        { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "capacity", "labels", "seq" }) {
+        auto damaged = good;
+        damaged.erase(key);
+        cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s is missing", key);
+        damaged[key] = true;
+        cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s is a boolean", key);
+    }
+    for (const auto* const key : { "cpu", "mem_mb", "gpu" }) {
+        auto damaged = good;
+        damaged["capacity"].erase(key);
+        cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s is missing", key);
+    }
+}
+
+// Guards against a heartbeat with a number out of range, such as a port, that is stored and stops the members that read
+// it, or whose sums overflow.
+Test(damagedMessages, heartbeatWithANumberOutOfRangeIsRefused)
+{
+    const auto good = goldenDocument("heartbeat.json");
+    for (const auto* const address : { "10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:99999999999",
+             "10.128.0.9", "host.example:80", "999.1.1.1:80", ":80" }) {
+        auto damaged = good;
+        damaged["address"] = address;
+        cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s", address);
+    }
+    const std::vector<json> numbers { -1, 1.5, 1e300, std::numeric_limits<std::int64_t>::max(),
+        std::numeric_limits<std::uint64_t>::max() };
+    for (const auto& number : numbers) {
+        for (const auto* const place : { "/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu", "/seq", "/born",
+                 "/slots", "/cold_left_ms", "/drain_remaining_ms" }) {
+            auto damaged = good;
+            damaged[json::json_pointer(place)] = number;
+            cr_assert_throw(
+                readHeartbeat("i", damaged.dump()), chervilport_error, "%s = %s", place, number.dump().c_str());
+        }
+    }
+}
+
+// Guards against a message of a few megabytes that needs hundreds of megabytes once it is parsed, so that each process
+// that reads it is killed for its memory.
+Test(damagedMessages, deeplyNestedMessagesAreRefused)
+{
+    constexpr std::size_t depth = std::size_t { 1 } << 21;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto body = R"({"seq":1,"other":)" + nested + '}';
+    cr_assert_throw(readHeartbeat("i", body), chervilport_error);
+    cr_assert_throw(readJobRequest(jobId, body), chervilport_error);
+    cr_assert_throw(readSiteConfig(body), chervilport_error);
+    cr_assert_throw(readPollResponse(body, target), chervilport_error);
+    cr_assert(readResult(200, body).reply == worker_reply::Done);
+    cr_assert_not(readResult(200, body).clockMs.has_value());
+    const auto heartbeat = goldenDocument("heartbeat.json").dump();
+    const auto longHeartbeat
+        = heartbeat.substr(0, heartbeat.size() - 1) + R"(,"more":")" + std::string(100'000, 'x') + "\"}";
+    cr_assert_throw(readHeartbeat("i", longHeartbeat), chervilport_error);
+}
+
+// Guards against numbers of runs and ends that are cut to 32 bits or read as huge ones: an end with number -1 would
+// acknowledge all ends that the worker will ever list.
+Test(damagedMessages, rowsWithNumbersOutOfRangeAreLeftOut)
+{
+    const auto response = readPollResponse(R"({"clock_ms":1,"running":[["5c0e7a21d94b36f8.0.0.0",4294967297,"",0],)"
+                                           R"(["5c0e7a21d94b36f8.0.0.0",-1,"",0]],)"
+                                           R"("finished":[[-1,"5c0e7a21d94b36f8.0.0.0",1,"done",""]]})",
+        target);
+    cr_assert(response.running.empty());
+    cr_assert(response.ended.empty());
+}
