Withhold the start of a run on a worker that has shrunk

sendStart now withholds the run, as on a worker that drains, while the assigned runs need more than the worker has; the run ends as not started and its task is placed elsewhere. workerSession/startOnAWorkerThatHasShrunkIsWithheld fails before.

--- a/chervilport/batch/worker_record.h
+++ b/chervilport/batch/worker_record.h
@@ -30,4 +30,7 @@
     return subtract(worker.report.capacity, worker.used);
 }
 
+/// Returns whether the active runs of a worker need more than its capacity, as after a report of a smaller one.
+inline bool isOvercommitted(const worker_record& worker) { return !fitsInto(worker.used, worker.report.capacity); }
+
 } // namespace chervilport::batch
--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -30,11 +30,12 @@
         log_level::Warning);
 }
 
-void logStartWithheld(const batch::run_ref& run, const batch::worker_report& worker)
+void logStartWithheld(const batch::run_ref& run, const batch::worker_record& worker)
 {
+    const char* const other = batch::isOvercommitted(worker) ? "overcommitted" : "evacuated";
     logEvent("run_start_withheld",
-        { { "run", describe(run) }, { "worker", worker.id }, { "domain", worker.failureDomain },
-            { "reason", worker.draining ? "draining" : "evacuated" } });
+        { { "run", describe(run) }, { "worker", worker.report.id }, { "domain", worker.report.failureDomain },
+            { "reason", worker.report.draining ? "draining" : other } });
 }
 
 void logRunRequest(std::string_view event, const batch::run_ref& run, std::string_view worker,
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/batch_command.h"
-#include "chervilport/batch/worker_report.h"
+#include "chervilport/batch/worker_record.h"
 #include "chervilport/control/run_tracker.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/instance/proposal_result.h"
@@ -27,7 +27,7 @@
 void logWorkerUnreachable(std::string_view worker, const worker_result&, std::size_t runs);
 
 /// A run was not started because its worker takes no new runs.
-void logStartWithheld(const batch::run_ref&, const batch::worker_report&);
+void logStartWithheld(const batch::run_ref&, const batch::worker_record&);
 
 /// A request about a run has completed, with or without a response.
 void logRunRequest(
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -342,7 +342,10 @@
         || tracker.phase == start_phase::Confirmed || tracker.endProposed)
         return;
     const auto* const worker = record();
-    if (worker != nullptr && !batch::acceptsRuns(m_host.state(), *worker)) {
+    // The worker may have shrunk since the run was assigned, and a start would bring it over its capacity.
+    const bool mayStart
+        = worker == nullptr || (batch::acceptsRuns(m_host.state(), *worker) && !batch::isOvercommitted(*worker));
+    if (!mayStart) {
         withholdStart(tracker, *worker);
         return;
     }
@@ -367,7 +370,7 @@
 
 void worker_session::withholdStart(run_tracker& tracker, const batch::worker_record& worker)
 {
-    logStartWithheld(tracker.run, worker.report);
+    logStartWithheld(tracker.run, worker);
     if (tracker.mayHaveArrived)
         abandonStart(tracker);
     else
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -246,3 +246,32 @@
     cr_assert_eq(fixture.worker.stops.size(), 1);
     cr_assert(fixture.worker.stops.front().run == orphan);
 }
+
+// Guards against a start that brings a worker over its capacity: the worker could not be reached when the run was
+// assigned, and has shrunk until it answers.
+Test(workerSession, startOnAWorkerThatHasShrunkIsWithheld)
+{
+    session_fixture fixture;
+    batch::job_request request;
+    request.id = "large";
+    request.steps = { {} };
+    request.steps.front().demand = { 800, 0, 0 };
+    fixture.apply(batch::job_submitted { request, "q", "main" });
+    fixture.worker.pollReplies = { worker_reply::NoResponse };
+    const auto session = fixture.makeSession(monotonicNow() + 60s);
+    session->open();
+    fixture.runReady();
+    const batch::run_ref run { { "large", 0, 0, 0 }, 1 };
+    fixture.apply(batch::run_assigned { run, fixture.number });
+    session->startRun(run);
+    auto report = fixture.state.workers.at(fixture.number).report;
+    report.capacity.milliCores = 500;
+    ++report.sequence;
+    fixture.apply(batch::worker_reported { report });
+    session->tick(monotonicNow() + 1s);
+    fixture.runReady();
+    cr_assert(fixture.worker.starts.empty());
+    cr_assert_eq(fixture.ends().size(), 1);
+    cr_assert(fixture.ends().front() == batch::run_end_kind::NotStarted);
+    cr_assert_eq(fixture.state.workers.at(fixture.number).activeRuns, 0);
+}
