--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -19,8 +19,8 @@
 
     /// Duration of a reservation for a job, in milliseconds: the time to stop runs and commit their ends.
     constexpr std::int64_t reservationMs = 2'500;
-    /// Time that tasks wait in an idle pool before they may use workers that are reserved for urgent jobs, in
-    /// milliseconds.
+    /// Time that tasks wait before they may use workers that are reserved for urgent jobs, in milliseconds. Tasks that
+    /// end wait for an idle pool as well.
     constexpr std::int64_t urgentReservationWaitMs = 6'000;
     /// Time that tasks wait for the rack where they are fast, as a ratio of the run time that it saves.
     constexpr double rackWaitRatio = 0.5;
@@ -42,8 +42,8 @@
         std::int64_t nowMs;
         std::set<std::string> guaranteed;
         worker_slots slots;
-        /// Whether less than half of every resource is in use.
-        bool isIdle = false;
+        /// Services of whose workers less than half of every resource is in use.
+        std::set<std::string> idleServices;
         scheduling_result result;
     };
 
@@ -94,6 +94,11 @@
         return queue != nullptr ? queue->service : job.service;
     }
 
+    bool hasWaited(const pass& current, const ready_step& ready)
+    {
+        return current.nowMs - ready.jobDueMs > urgentReservationWaitMs;
+    }
+
     /// A ready step and the values that decide its order.
     struct ranked_step {
         ready_step step;
@@ -107,8 +112,9 @@
         std::vector<ranked_step> ranked;
         for (auto& each : separateSuspects(
                  listReadySteps(current.state, current.nowMs), current.state, current.slots, current.nowMs)) {
-            const bool hasWaited = current.nowMs - each.jobDueMs > urgentReservationWaitMs;
-            each.mayUseUrgentReservation = each.job->priority == guaranteedPriority || (current.isIdle && hasWaited)
+            const bool waits = hasWaited(current, each);
+            each.mayUseUrgentReservation = each.job->priority == guaranteedPriority
+                || (waits && current.idleServices.contains(serviceOf(current.state, *each.job)))
                 || (current.bounds.maxStopMs <= maxFillerStopMs && specOf(each).checkpointing
                     && isFiller(*each.job, specOf(each)));
             const auto status = objectiveStatusOf(current.state, current.schedulerState.estimates, each, current.nowMs);
@@ -129,7 +135,7 @@
     }
 
     /// Returns the time that a step waits for the rack where it is fast, in milliseconds.
-    double rackWaitMs(const pass& current, const ready_step& ready, bool isGuaranteed)
+    double rackWaitMs(const pass& current, const ready_step& ready, const std::string& service, bool isGuaranteed)
     {
         // A guarantee must be met within the reclaim time, which includes the time to stop other runs.
         const auto& bounds = current.bounds;
@@ -138,7 +144,7 @@
         const auto saved
             = (bounds.offRackSlowdown - 1) * expectedRunMs(current.schedulerState.estimates, *ready.job, specOf(ready));
         const auto wait = rackWaitRatio * saved;
-        return current.isIdle ? std::min(wait, maxIdleRackWaitMs) : wait;
+        return current.idleServices.contains(service) ? std::min(wait, maxIdleRackWaitMs) : wait;
     }
 
     std::uint32_t nextRun(const ready_step& ready, std::uint32_t index)
@@ -212,6 +218,21 @@
         });
     }
 
+    /// Decides which services are idle, and reserves workers of each for urgent jobs.
+    void reservePools(pass& current)
+    {
+        std::set<std::string> services;
+        for (const auto& slot : current.slots)
+            services.insert(slot.worker->report.service);
+        for (const auto& service : services) {
+            if (isMostlyIdle(current.slots, service))
+                current.idleServices.insert(service);
+            const auto demand = urgentDemand(current.state, current.slots, service);
+            auto& window = current.schedulerState.urgentDemand[service];
+            reserveForUrgent(current.slots, service, addDemandSample(window, demand, current.nowMs));
+        }
+    }
+
     bool anyFits(const pass& current, const ready_step& ready, const std::string& service)
     {
         const auto demand = chargedDemand(specOf(ready));
@@ -229,9 +250,7 @@
     removeExpired(state, schedulerState, nowMs);
     pass current { state, schedulerState, bounds, nowMs, guaranteedJobs(state, schedulerState.estimates, nowMs),
         makeSlots(state, conditions, schedulerState, nowMs) };
-    current.isIdle = isMostlyIdle(current.slots);
-    reserveForUrgent(
-        current.slots, addDemandSample(schedulerState.urgentDemand, urgentDemand(state, current.slots), nowMs));
+    reservePools(current);
     std::vector<preemption_victim> victims;
     bool hasListedVictims = false;
     std::vector<unplaceable_size> unplaceable;
@@ -248,7 +267,8 @@
                 reserveForGang(current.slots, each, service, gangBudget);
             continue;
         }
-        const bool allowOffRack = static_cast<double>(nowMs - each.jobDueMs) > rackWaitMs(current, each, isGuaranteed);
+        const bool allowOffRack
+            = static_cast<double>(nowMs - each.jobDueMs) > rackWaitMs(current, each, service, isGuaranteed);
         const auto placed = placeStep(current.slots, each, service, allowOffRack);
         for (const auto& task : placed)
             assign(current, each, task);
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -41,8 +41,8 @@
     run_estimates estimates;
     /// Observed speeds of workers.
     worker_speeds speeds;
-    /// Recent demand of urgent work.
-    urgent_demand_window urgentDemand;
+    /// Recent demand of urgent work by service.
+    std::map<std::string, urgent_demand_window> urgentDemand;
 };
 
 /// A run that is preempted for a job.
--- a/chervilport/batch/urgent_reservation.cpp
+++ b/chervilport/batch/urgent_reservation.cpp
@@ -23,11 +23,15 @@
     /// Utilization of every resource below which the pool counts as idle.
     constexpr double idleUtilization = 0.5;
 
-    resource_demand meanCapacity(const worker_slots& slots)
+    bool isOf(const worker_slot& slot, std::string_view service) { return slot.worker->report.service == service; }
+
+    resource_demand meanCapacity(const worker_slots& slots, std::string_view service)
     {
         resource_demand sum;
         std::int64_t count = 0;
         for (const auto& slot : slots) {
+            if (!isOf(slot, service))
+                continue;
             addScaled(sum, slot.worker->report.capacity, 1);
             ++count;
         }
@@ -48,12 +52,12 @@
             shareOf(demand.accelerators, capacity.accelerators) });
     }
 
-    /// Returns the mean speed class of the usable workers by rack number, in halves of a class.
-    std::vector<std::int64_t> rackSlowness(const worker_slots& slots)
+    /// Returns the mean speed class of the usable workers of a service by rack number, in halves of a class.
+    std::vector<std::int64_t> rackSlowness(const worker_slots& slots, std::string_view service)
     {
         std::vector<std::pair<double, double>> sums(countRacks(slots));
         for (const auto& slot : slots) {
-            if (!slot.isUsable)
+            if (!slot.isUsable || !isOf(slot, service))
                 continue;
             sums[slot.rackNumber].first += slot.speedClass;
             sums[slot.rackNumber].second += 1;
@@ -81,14 +85,14 @@
             < std::tie(right.rackSlowness, right.rackNumber, right.speedClass, right.id);
     }
 
-    std::vector<reservation_order> orderUsableWorkers(const worker_slots& slots)
+    std::vector<reservation_order> orderUsableWorkers(const worker_slots& slots, std::string_view service)
     {
-        const auto slowness = rackSlowness(slots);
+        const auto slowness = rackSlowness(slots, service);
         std::vector<reservation_order> order;
         order.reserve(slots.size());
         for (std::size_t i = 0; i < slots.size(); ++i) {
             const auto& slot = slots[i];
-            if (slot.isUsable)
+            if (slot.isUsable && isOf(slot, service))
                 order.push_back(
                     { slowness[slot.rackNumber], slot.rackNumber, slot.speedClass, slot.worker->report.id, i });
         }
@@ -108,12 +112,13 @@
 
 } // namespace
 
-double urgentDemand(const batch_state& state, const worker_slots& slots)
+double urgentDemand(const batch_state& state, const worker_slots& slots, std::string_view service)
 {
-    const auto capacity = meanCapacity(slots);
+    const auto capacity = meanCapacity(slots, service);
     double sum = 0;
     for (const auto& [id, job] : state.jobs) {
-        if (job.phase != job_phase::Active || job.priority != guaranteedPriority || job.request.repeatCount > 0)
+        const bool isUrgent = job.priority == guaranteedPriority && job.service == service;
+        if (job.phase != job_phase::Active || !isUrgent || job.request.repeatCount > 0)
             continue;
         for (std::size_t i = 0; i < job.request.steps.size(); ++i)
             sum += dominantShare(chargedDemand(job.request.steps[i]), capacity)
@@ -122,12 +127,12 @@
     return sum;
 }
 
-bool isMostlyIdle(const worker_slots& slots)
+bool isMostlyIdle(const worker_slots& slots, std::string_view service)
 {
     resource_demand used;
     resource_demand capacity;
     for (const auto& slot : slots) {
-        if (!slot.isUsable)
+        if (!slot.isUsable || !isOf(slot, service))
             continue;
         addScaled(used, slot.worker->used, 1);
         addScaled(capacity, slot.worker->report.capacity, 1);
@@ -146,14 +151,15 @@
     return samples.front().workers;
 }
 
-void reserveForUrgent(worker_slots& slots, double peakWorkers)
+void reserveForUrgent(worker_slots& slots, std::string_view service, double peakWorkers)
 {
-    // Round the bounds down, so that a site with a single worker reserves none.
-    const auto total = static_cast<double>(slots.size());
+    // Round the bounds down, so that a pool of a single worker reserves none.
+    const auto total = static_cast<double>(
+        std::count_if(slots.begin(), slots.end(), [&](const worker_slot& slot) { return isOf(slot, service); }));
     const auto minimum = static_cast<std::int64_t>(total * minUrgentReservedRatio);
     const auto maximum = static_cast<std::int64_t>(total * maxUrgentReservedRatio);
     const auto wanted = std::clamp(static_cast<std::int64_t>(std::ceil(peakWorkers * headroom)), minimum, maximum);
-    auto order = orderUsableWorkers(slots);
+    auto order = orderUsableWorkers(slots, service);
     const auto count = std::min(order.size(), static_cast<std::size_t>(wanted));
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(order.begin(), end, order.end(), isBefore);
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -309,7 +309,7 @@
 {
     fake_site site(4);
     site.addWorkers(1);
-    site.schedulerState.urgentDemand = {};
+    site.schedulerState.urgentDemand.clear();
     const auto running = site.submit(urgentQueue, { stepOf(8, 1) });
     site.pass();
     site.submit(urgentQueue, { stepOf(1, 8) });
