--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -103,6 +103,9 @@
     struct ranked_step {
         ready_step step;
         bool isGuaranteed = false;
+        /// Whether it is a long-running step that has waited. It is placed before gangs reserve the free workers for
+        /// themselves: its users are without service until it runs.
+        bool isOverdueService = false;
         objective_status status = objective_status::OnTime;
         bool isAtRisk = false;
     };
@@ -123,11 +126,12 @@
             const bool mayReclaim = status == objective_status::OnTime || !each.job->hasStarted;
             const bool isGuaranteed = mayReclaim && current.guaranteed.contains(each.job->request.id);
             const bool risk = isAtRisk(current.state, current.schedulerState.estimates, each, current.nowMs);
-            ranked.push_back({ std::move(each), isGuaranteed, status, risk });
+            const bool isOverdueService = waits && specOf(each).longRunning;
+            ranked.push_back({ std::move(each), isGuaranteed, isOverdueService, status, risk });
         }
         const auto key = [](const ranked_step& each) {
-            return std::tuple(
-                !each.isGuaranteed, each.status, each.step.job->priority, each.isAtRisk, each.step.jobDueMs);
+            return std::tuple(!each.isGuaranteed, !each.isOverdueService, each.status, each.step.job->priority,
+                each.isAtRisk, each.step.jobDueMs);
         };
         std::stable_sort(ranked.begin(), ranked.end(),
             [&](const ranked_step& left, const ranked_step& right) { return key(left) < key(right); });
@@ -257,8 +261,11 @@
     auto gangBudget = makeGangReservationBudget(current.slots);
 
     // Place the ready steps in order of their rank.
-    for (auto& [each, isGuaranteed, status, risk] : rankReadySteps(current)) {
+    for (auto& [each, isGuaranteed, isOverdueService, status, risk] : rankReadySteps(current)) {
         const auto& service = serviceOf(state, *each.job);
+        // A long-running task keeps the worker for good, so it takes a reserved one only if there is no other.
+        if (isOverdueService && !anyFits(current, each, service))
+            each.mayUseUrgentReservation = true;
         const bool isUrgent = each.job->priority == guaranteedPriority && status == objective_status::OnTime;
         const bool mayPreempt = (isGuaranteed || isUrgent) && !each.needsEmptyWorker;
         const bool mayReserve = !isGuaranteed && specOf(each).gang && status != objective_status::Expired;
