--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -236,3 +236,25 @@
     fixture.run();
     cr_assert(fixture.jobs->state().workers.begin()->second.report.draining);
 }
+
+// Guards against a job that is not shown as pending although it has not begun: its only run is assigned to a worker
+// that does not answer.
+Test(batchCalls, jobWithoutAConfirmedRunIsPending)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+    fixture.worker.startReplies = { worker_reply::NoResponse };
+    const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+    submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+    fixture.run();
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+    cr_assert_eq(fixture.jobs->countPendingJobs("q"), 1);
+    fixture.worker.running = { { fixture.worker.starts.front().run, "", 0 } };
+    fixture.worker.heldPoll();
+    fixture.run();
+    cr_assert_eq(fixture.jobs->countPendingJobs("q"), 0);
+}
