--- a/chervilport/batch/job_admission.cpp
+++ b/chervilport/batch/job_admission.cpp
@@ -2,8 +2,6 @@
 
 #include "chervilport/core/chervilport_error.h"
 
-#include <algorithm>
-
 namespace chervilport::batch {
 
 resolved_call resolveCall(const batch_state& state, std::string_view host, std::string_view path, std::string_view key)
@@ -23,12 +21,4 @@
     return call;
 }
 
-std::size_t countPendingJobs(const batch_state& state, std::string_view queue)
-{
-    return static_cast<std::size_t>(std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
-        const auto& job = entry.second;
-        return job.phase == job_phase::Active && !job.hasStarted && job.request.repeatCount == 0 && job.queue == queue;
-    }));
-}
-
 } // namespace chervilport::batch
--- a/chervilport/batch/job_admission.h
+++ b/chervilport/batch/job_admission.h
@@ -2,7 +2,6 @@
 
 #include "chervilport/batch/batch_state.h"
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -23,7 +22,4 @@
 /// queue is public.
 resolved_call resolveCall(const batch_state&, std::string_view host, std::string_view path, std::string_view key);
 
-/// Returns the number of active jobs of a queue that have not started a task, without jobs that have due times.
-std::size_t countPendingJobs(const batch_state&, std::string_view queue);
-
 } // namespace chervilport::batch
--- /dev/null
+++ b/chervilport/batch/pending_jobs.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/task_ref.h"
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+
+namespace chervilport::batch {
+
+/// Returns whether a worker has confirmed that it executes a run.
+using run_confirmation = std::function<bool(worker_number, const run_ref&)>;
+
+/// Returns the number of accepted jobs of a queue without due times of which no task is known to have started. A job
+/// whose first runs are assigned and not confirmed by their workers counts, since they may never start.
+std::size_t countPendingJobs(const batch_state&, std::string_view queue, const run_confirmation&);
+
+} // namespace chervilport::batch
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -2,7 +2,7 @@
 
 #include "chervilport/batch/batch_apply.h"
 #include "chervilport/batch/batch_codec.h"
-#include "chervilport/batch/job_admission.h"
+#include "chervilport/batch/pending_jobs.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/batch/worker_admission.h"
@@ -282,37 +282,10 @@
 
 std::size_t batch_controller::countPendingJobs(std::string_view queue) const
 {
-    auto count = batch::countPendingJobs(m_state, queue);
-    for (const auto& [id, job] : m_state.jobs) {
-        const bool isAssigned = job.phase == batch::job_phase::Active && job.hasStarted && job.activeRuns > 0;
-        if (isAssigned && job.request.repeatCount == 0 && job.queue == queue && !hasBegun(job))
-            ++count;
-    }
-    return count;
-}
-
-bool batch_controller::hasBegun(const batch::job_record& job) const
-{
-    for (const auto& [number, occurrence] : job.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto& tasks = occurrence.steps[step].tasks;
-            for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                if (hasBegun({ job.request.id, number, step, i }, tasks[i]))
-                    return true;
-            }
-        }
-    }
-    return false;
-}
-
-bool batch_controller::hasBegun(const batch::task_ref& ref, const batch::task_record& task) const
-{
-    // Only the first run of a task can show that the task has not begun: how an earlier one ended is not recorded.
-    const bool isFirstRun = task.lastRun == 1 && task.worker != batch::noWorker && !task.done;
-    if (!isFirstRun)
-        return task.lastRun > 0;
-    const auto session = m_sessions.find(task.worker);
-    return session == m_sessions.end() || session->second->hasStarted({ ref, task.lastRun });
+    return batch::countPendingJobs(m_state, queue, [this](batch::worker_number worker, const batch::run_ref& run) {
+        const auto session = m_sessions.find(worker);
+        return session == m_sessions.end() || session->second->hasStarted(run);
+    });
 }
 
 session_host batch_controller::makeHost(batch::worker_number number)
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -76,8 +76,7 @@
     /// Proposes a changed report of a worker, after the crash of each worker that it replaces; leader only.
     void proposeReport(batch::worker_report, command_queue::callback);
 
-    /// Returns the number of accepted jobs of a queue without due times of which no task is known to have started. A
-    /// job whose first runs are assigned and not confirmed by their workers counts, since they may never start.
+    /// Returns the number of accepted jobs of a queue of which no task is known to have started; leader only.
     std::size_t countPendingJobs(std::string_view queue) const;
 
     /// Returns whether a worker can have left as planned: its recorded incarnation drains, and for as long as it said
@@ -94,8 +93,6 @@
     void stepDown();
     void tick();
     void updateSessions();
-    bool hasBegun(const batch::job_record&) const;
-    bool hasBegun(const batch::task_ref&, const batch::task_record&) const;
     void recordDrains(const batch::command_batch&);
     void stopEndedJobs();
     void abortGangs(const batch::command_batch&);
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -19,18 +19,11 @@
     /// Backoff between polls without a response.
     constexpr std::chrono::milliseconds firstPollBackoff { 200 };
     constexpr std::chrono::milliseconds maxPollBackoff { 1'600 };
-    /// Time for which a worker that responds as unhealthy gets no new runs.
-    constexpr std::chrono::milliseconds unhealthyBackoff { 2'000 };
 
     /// Time that a report takes at most until it is recorded: a worker sends it again after a second without a
     /// response.
     constexpr std::chrono::milliseconds maxReportDelay { 1'000 };
 
-    std::string workerName(const batch::worker_record* worker)
-    {
-        return worker == nullptr ? "unknown" : worker->report.id;
-    }
-
     log_duration pollBackoffAfter(int failedPolls)
     {
         return std::min<log_duration>(firstPollBackoff * (1 << std::min(failedPolls - 1, 4)), maxPollBackoff);
@@ -52,6 +45,12 @@
 
 const batch::worker_record* worker_session::record() const { return batch::findWorker(m_host.state(), m_worker); }
 
+std::string worker_session::name() const
+{
+    const auto* const worker = record();
+    return worker == nullptr ? "unknown" : worker->report.id;
+}
+
 worker_target worker_session::target() const
 {
     const auto* const worker = record();
@@ -213,7 +212,7 @@
 
 void worker_session::beginIncarnation(std::int64_t incarnation)
 {
-    logWorkerRestarted(workerName(record()), m_incarnation, incarnation, m_runs.size());
+    logWorkerRestarted(name(), m_incarnation, incarnation, m_runs.size());
     m_incarnation = incarnation;
     m_acknowledgedEnd = 0;
     m_lastListedEnd = 0;
@@ -244,7 +243,7 @@
         return;
     ++m_failedPolls;
     if (m_failedPolls == 1) {
-        logWorkerUnreachable(workerName(record()), result, m_runs.size());
+        logWorkerUnreachable(name(), result, m_runs.size());
         m_host.changed();
     }
     m_nextPoll = m_now + pollBackoffAfter(m_failedPolls);
@@ -297,7 +296,7 @@
             continue;
         }
         if (isMissing(tracker, sentAt)) {
-            logUnexpectedRun("run_missing", run, workerName(record()));
+            logUnexpectedRun("run_missing", run, name());
             tracker.stopRequested = true;
             sendStop(tracker);
         }
@@ -335,184 +334,6 @@
     m_host.propose(std::move(crash), [](proposal_result) {});
 }
 
-void worker_session::sendStart(run_tracker& tracker)
-{
-    const auto* const job = batch::findJob(m_host.state(), tracker.run.task.job);
-    if (job == nullptr || !m_clock.readingMs || !m_host.mayExecute() || tracker.phase == start_phase::InFlight
-        || tracker.phase == start_phase::Confirmed || tracker.endProposed)
-        return;
-    const auto* const worker = record();
-    // The worker may have shrunk since the run was assigned, and a start would bring it over its capacity.
-    const bool mayStart
-        = worker == nullptr || (batch::acceptsRuns(m_host.state(), *worker) && !batch::isOvercommitted(*worker));
-    if (!mayStart) {
-        withholdStart(tracker, *worker);
-        return;
-    }
-    const auto now = monotonicNow();
-    start_request request;
-    request.run = tracker.run;
-    request.spec = job->request.spec;
-    request.fencingToken = m_host.term;
-    request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
-    if (const auto* const task = batch::findTask(m_host.state(), tracker.run.task))
-        request.checkpoint = task->checkpoint;
-    ++tracker.attempts;
-    tracker.startedFromScratch = tracker.attempts == 1 && request.checkpoint.empty();
-    tracker.phase = start_phase::InFlight;
-    m_host.client->start(target(), request,
-        [self = shared_from_this(), run = tracker.run, incarnation = recordedIncarnation()](
-            const worker_result& result) {
-            if (!self->m_closed && !self->m_incarnationEnded)
-                self->handleStart(run, result, incarnation);
-        });
-}
-
-void worker_session::withholdStart(run_tracker& tracker, const batch::worker_record& worker)
-{
-    logStartWithheld(tracker.run, worker);
-    if (tracker.mayHaveArrived)
-        abandonStart(tracker);
-    else
-        proposeEnd(tracker, batch::run_end_kind::NotStarted);
-}
-
-void worker_session::abandonStart(run_tracker& tracker)
-{
-    tracker.phase = start_phase::Abandoned;
-    tracker.stopRequested = true;
-    sendStop(tracker);
-}
-
-void worker_session::handleStart(const batch::run_ref& run, const worker_result& result, std::int64_t incarnation)
-{
-    recordResult(result);
-    if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
-        return;
-    const auto found = m_runs.find(run);
-    if (found == m_runs.end())
-        return;
-    auto& tracker = found->second;
-    logRunRequest("run_start_sent", run, workerName(record()), result, tracker.attempts);
-    // A poll may have shown the run in the meantime.
-    if (tracker.phase != start_phase::InFlight)
-        return;
-    if (result.reply == worker_reply::Done || result.reply == worker_reply::OutdatedRun) {
-        tracker.hasRun = result.reply == worker_reply::Done;
-        confirmStart(tracker);
-        if (!m_pollInFlight)
-            poll();
-        return;
-    }
-    retryOrAbandon(tracker, result);
-}
-
-void worker_session::confirmStart(run_tracker& tracker)
-{
-    tracker.phase = start_phase::Confirmed;
-    tracker.confirmedAt = m_now;
-    // A run that resumes from a checkpoint begins with an unknown part of its work done, and so does an adopted one.
-    if (tracker.startedFromScratch)
-        tracker.progress.since = m_now;
-    m_host.started(tracker.run);
-}
-
-void worker_session::retryOrAbandon(run_tracker& tracker, const worker_result& result)
-{
-    if (result.reply == worker_reply::Unhealthy) {
-        m_unhealthyUntil = m_now + unhealthyBackoff;
-        m_host.changed();
-    }
-    switch (recordFailedStart(tracker, result.reply)) {
-    case failed_start_action::Retry:
-        tracker.phase = start_phase::Retry;
-        return;
-    case failed_start_action::End:
-        proposeEnd(tracker, batch::run_end_kind::NotStarted);
-        return;
-    case failed_start_action::Stop:
-        abandonStart(tracker);
-        return;
-    }
-}
-
-void worker_session::sendStop(run_tracker& tracker)
-{
-    if (tracker.stopInFlight || tracker.stopConfirmed || tracker.endProposed || !m_host.mayExecute())
-        return;
-    tracker.stopInFlight = true;
-    const stop_request request { tracker.run, m_host.term };
-    const auto handle = [self = shared_from_this(), run = tracker.run, incarnation = m_incarnation,
-                            recorded = recordedIncarnation()](const worker_result& result) {
-        if (self->m_closed || self->m_incarnationEnded)
-            return;
-        self->recordResult(result);
-        if (result.reply == worker_reply::IncarnationMismatch && self->endIncarnation(recorded))
-            return;
-        const auto found = self->m_runs.find(run);
-        // A stop that an earlier incarnation confirmed does not prevent a start in the current one.
-        if (found == self->m_runs.end() || incarnation != self->m_incarnation)
-            return;
-        const auto attempt = ++found->second.stopAttempts;
-        // A stop is retried until it is confirmed; log only the first and the last attempt.
-        if (attempt == 1 || result.reply == worker_reply::Done)
-            logRunRequest("run_stop_sent", run, workerName(self->record()), result, attempt);
-        found->second.stopInFlight = false;
-        if (result.reply != worker_reply::Done)
-            return;
-        found->second.stopConfirmed = true;
-        found->second.stopConfirmedAt = self->m_now;
-        self->m_pollAgain = true;
-    };
-    m_host.client->stop(target(), request, handle);
-}
-
-void worker_session::stopOrphan(const batch::run_ref& run)
-{
-    logUnexpectedRun("stray_run_stopped", run, workerName(record()));
-    m_host.client->stop(target(), { run, m_host.term }, [self = shared_from_this()](const worker_result& result) {
-        if (!self->m_closed)
-            self->recordResult(result);
-    });
-}
-
-void worker_session::proposeEnd(run_tracker& tracker, batch::run_end_kind kind)
-{
-    tracker.endProposed = true;
-    ++m_pendingProposals;
-    logRunEnded(tracker, workerName(record()), kind);
-    m_host.propose(batch::run_ended { tracker.run, m_worker, kind, tracker.checkpoint },
-        [self = shared_from_this(), run = tracker.run, kind](proposal_result result) {
-            --self->m_pendingProposals;
-            if (result != proposal_result::Committed) {
-                self->handleUncommittedEnd(run, kind, result);
-                return;
-            }
-            self->m_host.ended(run, kind);
-            self->m_runs.erase(run);
-            self->afterProposal();
-        });
-}
-
-void worker_session::handleUncommittedEnd(const batch::run_ref& run, batch::run_end_kind kind, proposal_result result)
-{
-    logUncommittedEnd(run, workerName(record()), kind, result);
-    // Do not acknowledge the ends listed since, so that the worker lists them again.
-    m_lastListedEnd = m_acknowledgedEnd;
-    m_pollAgain = true;
-    m_nextPoll = m_now + firstPollBackoff;
-    const auto found = m_runs.find(run);
-    if (found == m_runs.end())
-        return;
-    reopenAfterUncommittedEnd(found->second, kind);
-}
-
-void worker_session::afterProposal()
-{
-    if (m_pendingProposals == 0 && !m_closed && m_polled && m_failedPolls == 0)
-        poll();
-}
-
 std::int64_t worker_session::recordedIncarnation() const
 {
     const auto* const worker = record();
@@ -523,13 +344,13 @@
 {
     // The request was sent to the address of an earlier incarnation; the current one may be elsewhere.
     if (incarnation != recordedIncarnation()) {
-        logOutdatedMismatch(workerName(record()), incarnation, recordedIncarnation());
+        logOutdatedMismatch(name(), incarnation, recordedIncarnation());
         return false;
     }
     m_incarnationEnded = true;
     reportCrash();
-    logEvent("worker_life_ended", { { "worker", workerName(record()) }, { "reason", "other life at its address" } },
-        log_level::Warning);
+    logEvent(
+        "worker_life_ended", { { "worker", name() }, { "reason", "other life at its address" } }, log_level::Warning);
     m_host.propose(batch::incarnation_ended { m_worker, incarnation },
         [self = shared_from_this()](proposal_result) { self->resumeUnlessRemoved(); });
     m_host.changed();
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace chervilport {
 
@@ -54,6 +55,7 @@
 
 private:
     const batch::worker_record* record() const;
+    std::string name() const;
     worker_target target() const;
     void poll();
     void handlePoll(const poll_response&, log_time sentAt, std::int64_t incarnation);
