Pace the search for the leader by what the members say

An instance without a leader asked all members every 150 ms: at 297 entry instances that is about 5,900 questions a second for three members that have to elect one at that time. It now asks one member at a time, and the members say how long to wait by the number of connected instances, so that all of them together ask 500 times a second at most; a small site asks as often as before.

--- a/chervilport/control/cluster_calls.cpp
+++ b/chervilport/control/cluster_calls.cpp
@@ -1,5 +1,6 @@
 #include "chervilport/control/cluster_calls.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,8 @@
     constexpr int misdirected = 421;
     constexpr int gatewayTimeout = 504;
     constexpr int ok = 200;
+    /// Longest pause that a member can ask for, in milliseconds.
+    constexpr std::int64_t maxPauseMs = 10'000;
 
     nlohmann::json parse(const std::string& body) { return nlohmann::json::parse(body, nullptr, false); }
 
@@ -46,7 +49,8 @@
 
 http_response makeStatusResponse(const cluster_status& status)
 {
-    nlohmann::json body { { "term", status.term }, { "serves", status.serves } };
+    nlohmann::json body { { "term", status.term }, { "serves", status.serves },
+        { "search_pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(status.searchPause).count() } };
     if (status.leader)
         body["leader"] = static_cast<std::uint64_t>(*status.leader);
     body["members"] = nlohmann::json::array();
@@ -63,6 +67,8 @@
     cluster_status status;
     status.term = body.value("term", std::uint64_t { 0 });
     status.serves = body.value("serves", false);
+    status.searchPause = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(body.value("search_pause_ms", std::int64_t { 0 }), 0, maxPauseMs));
     if (body.contains("leader"))
         status.leader = member_id { body["leader"].get<std::uint64_t>() };
     for (const auto& id : body.value("members", nlohmann::json::array()))
--- a/chervilport/control/cluster_calls.h
+++ b/chervilport/control/cluster_calls.h
@@ -2,6 +2,8 @@
 
 #include "chervilport/consensus/member.h"
 #include "chervilport/consensus/member_id.h"
+#include "chervilport/control/search_pacing.h"
+#include "chervilport/core/log_time.h"
 #include "chervilport/http/http_message.h"
 
 #include <optional>
@@ -24,6 +26,8 @@
     bool serves = false;
     /// Voters and learners.
     std::vector<member_id> members;
+    /// Mean pause between two questions of an instance that searches for the leader.
+    log_duration searchPause = searchPauseFor(0);
 };
 
 /// Builds a request for the status.
--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -289,6 +289,7 @@
     described.leader = status.leader;
     described.term = status.term;
     described.serves = mayServe();
+    described.searchPause = m_searchPause;
     for (const auto& each : status.members.voters)
         described.members.push_back(each.id);
     for (const auto& each : status.members.learners)
@@ -350,6 +351,7 @@
 void control_node::tick()
 {
     const auto now = monotonicNow();
+    m_searchPause = searchPauseFor(m_network->counters().openShared);
     restoreAfterFailure(now);
     joinIfNeeded(now);
     if (mayServe())
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -96,6 +96,8 @@
     std::vector<peer_address> m_peers;
     /// Peers without a connection, with the time since when.
     member_watch m_watch;
+    /// Pause that searching instances are asked for; updated with each tick.
+    log_duration m_searchPause = searchPauseFor(0);
     log_time m_nextRestore;
     log_time m_lastJoin;
     log_time m_leaderSeenAt;
--- a/chervilport/control/leader_relay.cpp
+++ b/chervilport/control/leader_relay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <random>
 #include <utility>
 
 namespace chervilport {
@@ -16,8 +17,6 @@
     constexpr std::chrono::milliseconds tickInterval { 100 };
     /// Time since the last contact after which the leader is probed again.
     constexpr std::chrono::milliseconds probeInterval { 700 };
-    /// Minimum time between two rounds of probes to all candidates.
-    constexpr std::chrono::milliseconds searchInterval { 150 };
     /// Timeout of a status request.
     constexpr std::chrono::milliseconds statusTimeout { 600 };
     /// Timeout of one attempt to relay a call, after which it is retried.
@@ -49,6 +48,7 @@
     , m_self(self)
     , m_tick(context, tickInterval)
     , m_lastLeaderContact(monotonicNow() - leaderExpiry)
+    , m_search(std::random_device {}())
 {
 }
 
@@ -85,7 +85,7 @@
 {
     const auto now = monotonicNow();
     if (!m_leader || timeSinceLeaderContact(now) > 2 * probeInterval)
-        probeAll(now);
+        search(now);
     else if (timeSinceLeaderContact(now) > probeInterval && now - m_lastProbe > probeInterval) {
         m_lastProbe = now;
         probe(*m_leader);
@@ -93,13 +93,12 @@
     resumeWaiting();
 }
 
-void leader_relay::probeAll(log_time now)
+void leader_relay::search(log_time now)
 {
-    if (now - m_lastProbe < searchInterval)
-        return;
-    m_lastProbe = now;
-    for (const auto candidate : candidates())
-        probe(candidate);
+    // A pause shorter than the tick makes several questions due at once, each to another candidate.
+    const auto all = candidates();
+    for (std::size_t i = 0; i < all.size() && takeQuestion(m_search, now); ++i)
+        probe(all[m_search.questions % all.size()]);
 }
 
 void leader_relay::probe(member_id target)
@@ -118,6 +117,7 @@
 
 void leader_relay::handleStatus(member_id from, const cluster_status& status)
 {
+    m_search.pause = status.searchPause;
     if (status.term >= m_term && !status.members.empty() && status.members != m_members) {
         m_members = status.members;
         if (membersChanged)
@@ -154,7 +154,7 @@
         return;
     logEvent("leader_dropped", { { "leader", numberOf(leader) }, { "reason", reason } }, log_level::Warning);
     m_leader.reset();
-    probeAll(monotonicNow());
+    search(monotonicNow());
 }
 
 void leader_relay::relay(http_request request, std::string name, log_time deadline, callback done)
--- a/chervilport/control/leader_relay.h
+++ b/chervilport/control/leader_relay.h
@@ -2,6 +2,7 @@
 
 #include "chervilport/consensus/member_id.h"
 #include "chervilport/control/cluster_calls.h"
+#include "chervilport/control/search_pacing.h"
 #include "chervilport/core/log_time.h"
 #include "chervilport/core/repeating_timer.h"
 #include "chervilport/http/http_message.h"
@@ -74,7 +75,7 @@
 
     void tick();
     void probe(member_id);
-    void probeAll(log_time now);
+    void search(log_time now);
     void handleStatus(member_id from, const cluster_status&);
     void setLeader(member_id);
     void dropLeader(member_id, const char* reason);
@@ -93,6 +94,7 @@
     std::uint64_t m_term = 0;
     log_time m_lastLeaderContact;
     log_time m_lastProbe;
+    search_pacing m_search;
     std::list<std::shared_ptr<pending_call>> m_waiting;
     bool m_stopped = false;
 };
