Leave out messages of other instances with fields of another type

Both readers now log it and treat it as missing. clusterCalls/messagesWithFieldsOfAnotherTypeAreLeftOut fails on the code before with type_error.302.

--- a/chervilport/control/cluster_calls.cpp
+++ b/chervilport/control/cluster_calls.cpp
@@ -1,5 +1,7 @@
 #include "chervilport/control/cluster_calls.h"
 
+#include "chervilport/logging/event_log.h"
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -20,6 +22,27 @@
 
     nlohmann::json parse(const std::string& body) { return nlohmann::json::parse(body, nullptr, false); }
 
+    /// Logs a message of another instance of which a field has an unexpected type.
+    void logUnreadable(const char* what, const nlohmann::json::exception& error)
+    {
+        logEvent("cluster_message_unreadable", { { "message", what }, { "reason", error.what() } }, log_level::Warning);
+    }
+
+    /// Reads the fields of a status. Throws nlohmann::json::exception when one has another type.
+    cluster_status readStatus(const nlohmann::json& body)
+    {
+        cluster_status status;
+        status.term = body.value("term", std::uint64_t { 0 });
+        status.serves = body.value("serves", false);
+        status.searchPause = std::chrono::milliseconds(
+            std::clamp<std::int64_t>(body.value("search_pause_ms", std::int64_t { 0 }), 0, maxPauseMs));
+        if (body.contains("leader"))
+            status.leader = member_id { body["leader"].get<std::uint64_t>() };
+        for (const auto& id : body.value("members", nlohmann::json::array()))
+            status.members.push_back(member_id { id.get<std::uint64_t>() });
+        return status;
+    }
+
 } // namespace
 
 http_request makeStatusRequest() { return { std::string(clusterMethod), std::string(statusTarget), {}, {} }; }
@@ -43,8 +66,13 @@
     const auto body = parse(request.body);
     if (!body.is_object())
         return std::nullopt;
-    return member { member_id { body.value("id", std::uint64_t { 0 }) }, body.value("incarnation", std::uint64_t { 0 }),
-        body.value("has_disk", false), false };
+    try {
+        return member { member_id { body.value("id", std::uint64_t { 0 }) },
+            body.value("incarnation", std::uint64_t { 0 }), body.value("has_disk", false), false };
+    } catch (const nlohmann::json::exception& error) {
+        logUnreadable("join request", error);
+        return std::nullopt;
+    }
 }
 
 http_response makeStatusResponse(const cluster_status& status)
@@ -64,16 +92,12 @@
     const auto body = parse(response.body);
     if (response.status != ok || !body.is_object())
         return std::nullopt;
-    cluster_status status;
-    status.term = body.value("term", std::uint64_t { 0 });
-    status.serves = body.value("serves", false);
-    status.searchPause = std::chrono::milliseconds(
-        std::clamp<std::int64_t>(body.value("search_pause_ms", std::int64_t { 0 }), 0, maxPauseMs));
-    if (body.contains("leader"))
-        status.leader = member_id { body["leader"].get<std::uint64_t>() };
-    for (const auto& id : body.value("members", nlohmann::json::array()))
-        status.members.push_back(member_id { id.get<std::uint64_t>() });
-    return status;
+    try {
+        return readStatus(body);
+    } catch (const nlohmann::json::exception& error) {
+        logUnreadable("status", error);
+        return std::nullopt;
+    }
 }
 
 http_response makeNotLeaderResponse(std::optional<member_id> leader)
