Log which ends a poll acknowledges, and to which incarnation

Added: ends_acknowledged (number, incarnation that listed the ends, recorded incarnation), run_end_unmatched (an end is listed for a run that is not tracked), and in worker_restarted the number that the poll acknowledged which reached the new incarnation. One line for each acknowledged batch of ends; no decision changes.

--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -11,9 +11,27 @@
             { "ended", response.ended.size() } });
 }
 
-void logWorkerRestarted(std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs)
+void logWorkerRestarted(
+    std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs, std::uint64_t acknowledged)
 {
-    logEvent("worker_restarted", { { "worker", worker }, { "born", now }, { "before", before }, { "runs", runs } },
+    logEvent("worker_restarted",
+        { { "worker", worker }, { "born", now }, { "before", before }, { "runs", runs },
+            { "acknowledged", acknowledged } },
+        log_level::Warning);
+}
+
+void logEndsAcknowledged(
+    std::string_view worker, std::uint64_t upTo, std::int64_t incarnation, std::int64_t recordedIncarnation)
+{
+    logEvent("ends_acknowledged",
+        { { "worker", worker }, { "up_to", upTo }, { "born", incarnation }, { "recorded", recordedIncarnation } });
+}
+
+void logUnmatchedEnd(const reported_end& end, std::string_view worker)
+{
+    logEvent("run_end_unmatched",
+        { { "run", describe(end.run) }, { "worker", worker }, { "how", batch::nameOf(end.kind) },
+            { "number", end.number } },
         log_level::Warning);
 }
 
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -17,8 +17,18 @@
 /// The worker has responded for the first time in this term, or again.
 void logWorkerReached(std::string_view worker, std::uint64_t term, const poll_response&);
 
-/// The worker is a new incarnation; both are start times, Unix milliseconds.
-void logWorkerRestarted(std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs);
+/// The worker is a new incarnation; both are start times, Unix milliseconds. `acknowledged` is the number of the end up
+/// to which the poll acknowledged that reached it.
+void logWorkerRestarted(
+    std::string_view worker, std::int64_t before, std::int64_t now, std::size_t runs, std::uint64_t acknowledged);
+
+/// A poll acknowledges the ends up to this number. Both incarnations are start times, Unix milliseconds: the one that
+/// listed the ends, and the one that the replicated state records.
+void logEndsAcknowledged(
+    std::string_view worker, std::uint64_t upTo, std::int64_t incarnation, std::int64_t recordedIncarnation);
+
+/// A worker lists the end of a run that is not tracked: another leader has recorded its end, or this one gave it up.
+void logUnmatchedEnd(const reported_end&, std::string_view worker);
 
 /// Another worker answered a request that was sent to an earlier incarnation; both are start times, Unix milliseconds.
 void logOutdatedMismatch(std::string_view worker, std::int64_t requested, std::int64_t recorded);
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -132,6 +132,8 @@
     const auto now = monotonicNow();
     poll_request request;
     request.fencingToken = m_host.term;
+    if (m_lastListedEnd > m_acknowledgedEnd)
+        logEndsAcknowledged(name(), m_lastListedEnd, m_incarnation, recordedIncarnation());
     m_acknowledgedEnd = std::max(m_acknowledgedEnd, m_lastListedEnd);
     request.acknowledgedEnd = m_acknowledgedEnd;
     // Do not renew the lease in a poll that may stay without a response, or the runs of a lost worker would never end.
@@ -143,12 +145,12 @@
         request.wait = pollWait;
     m_pollInFlight = true;
     m_pollAgain = false;
-    m_host.client->poll(target(), request,
-        [self = shared_from_this(), now, incarnation = recordedIncarnation()](const poll_response& response) {
-            self->m_pollInFlight = false;
-            if (!self->m_closed && !self->m_incarnationEnded)
-                self->handlePoll(response, now, incarnation);
-        });
+    const sent_poll sent { now, recordedIncarnation(), request.acknowledgedEnd };
+    m_host.client->poll(target(), request, [self = shared_from_this(), sent](const poll_response& response) {
+        self->m_pollInFlight = false;
+        if (!self->m_closed && !self->m_incarnationEnded)
+            self->handlePoll(response, sent);
+    });
 }
 
 void worker_session::recordResult(const worker_result& result)
@@ -166,11 +168,11 @@
         recordReading(m_clock, *result.clockMs, m_now);
 }
 
-void worker_session::handlePoll(const poll_response& response, log_time sentAt, std::int64_t polledIncarnation)
+void worker_session::handlePoll(const poll_response& response, const sent_poll& sent)
 {
     recordResult(response.result);
     if (response.result.reply != worker_reply::Done) {
-        handleFailedPoll(response.result, polledIncarnation);
+        handleFailedPoll(response.result, sent.recordedIncarnation);
         return;
     }
     const auto* const worker = record();
@@ -183,6 +185,7 @@
     if (incarnation > m_incarnation) {
         // The new incarnation accepted the start requests of the runs that it lists.
         proposeCrash(runsIn(response));
+        logWorkerRestarted(name(), m_incarnation, incarnation, m_runs.size(), sent.acknowledgedEnd);
         beginIncarnation(incarnation);
         reconcileEarlierIncarnation(response);
     }
@@ -197,7 +200,7 @@
     // Compare the reported runs and ends with the tracked runs.
     reconcileEnds(response);
     reconcileRunning(response);
-    reconcileMissing(response, sentAt);
+    reconcileMissing(response, sent.at);
     // Start the runs that were assigned before the first poll.
     for (auto& [run, tracker] : m_runs) {
         if (tracker.phase == start_phase::Unsent && !tracker.stopRequested && !tracker.endProposed)
@@ -212,7 +215,6 @@
 
 void worker_session::beginIncarnation(std::int64_t incarnation)
 {
-    logWorkerRestarted(name(), m_incarnation, incarnation, m_runs.size());
     m_incarnation = incarnation;
     m_acknowledgedEnd = 0;
     m_lastListedEnd = 0;
@@ -256,6 +258,8 @@
             continue;
         m_lastListedEnd = std::max(m_lastListedEnd, reported.number);
         const auto found = m_runs.find(reported.run);
+        if (found == m_runs.end())
+            logUnmatchedEnd(reported, name());
         if (found == m_runs.end() || found->second.endProposed)
             continue;
         if (!reported.checkpoint.empty())
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -54,11 +54,21 @@
     void tick(log_time now);
 
 private:
+    /// What a poll was sent with.
+    struct sent_poll {
+        /// When it was sent.
+        log_time at;
+        /// Recorded incarnation of the worker, Unix milliseconds.
+        std::int64_t recordedIncarnation = 0;
+        /// Number up to which it acknowledged ends.
+        std::uint64_t acknowledgedEnd = 0;
+    };
+
     const batch::worker_record* record() const;
     std::string name() const;
     worker_target target() const;
     void poll();
-    void handlePoll(const poll_response&, log_time sentAt, std::int64_t incarnation);
+    void handlePoll(const poll_response&, const sent_poll&);
     void handleFailedPoll(const worker_result&, std::int64_t incarnation);
     void recordResult(const worker_result&);
     bool hasRestarted() const;
