--- a/tests/control/fake_worker.cpp
+++ b/tests/control/fake_worker.cpp
@@ -28,6 +28,11 @@
 {
 }
 
+void fake_worker::discardEnds(std::uint64_t acknowledged)
+{
+    std::erase_if(ended, [&](const reported_end& end) { return end.number <= acknowledged; });
+}
+
 worker_client fake_worker::client()
 {
     worker_client calls;
@@ -51,13 +56,15 @@
         = [this](const worker_target&, const poll_request& request, const std::function<void(poll_response)>& done) {
               polls.push_back(request);
               const auto reply = nextReply(pollReplies);
-              const auto respond = [this, reply, done] {
-                  done({ { reply, clockIn(*this, reply), {} }, incarnation, running, ended });
+              if (reply == worker_reply::Done)
+                  discardEnds(request.acknowledgedEnd);
+              const auto respond = [this, done](worker_reply result) {
+                  done({ { result, clockIn(*this, result), {} }, incarnation, running, ended });
               };
               if (request.wait.count() > 0 && holdPolls)
-                  heldPoll = respond;
+                  heldPoll = [this, reply, respond] { respond(heldPollReply.value_or(reply)); };
               else
-                  asio::post(context, respond);
+                  asio::post(context, [reply, respond] { respond(reply); });
           };
     return calls;
 }
--- a/tests/control/fake_worker.h
+++ b/tests/control/fake_worker.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace chervilport::control_tests {
@@ -17,6 +18,9 @@
     /// Returns a client that calls this worker.
     worker_client client();
 
+    /// Discards the ends up to this number.
+    void discardEnds(std::uint64_t acknowledged);
+
     asio::io_context& context;
     std::int64_t clockMs = 100'000;
     /// Replies to the next start requests; Done when empty.
@@ -25,13 +29,15 @@
     std::deque<worker_reply> stopReplies;
     /// Replies to the next polls; Done when empty.
     std::deque<worker_reply> pollReplies;
-    /// Runs and ends in the responses to polls.
+    /// Runs and ends in the responses to polls. Acknowledged ends are discarded.
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
     std::int64_t incarnation = 0;
     /// Whether responses to polls with a wait time are held until `heldPoll` is called.
     bool holdPolls = true;
     std::function<void()> heldPoll;
+    /// Reply to the held poll in place of the scripted one.
+    std::optional<worker_reply> heldPollReply;
     /// Whether responses to stop requests are held until `heldStop` is called.
     bool holdStops = false;
     std::function<void()> heldStop;
