Acknowledge ends only to the incarnation that listed them

Cause: a worker that restarts under its id and address executes requests meant for its earlier incarnation. Each poll repeated the highest number of an acknowledged end, also after a failed poll and when the record named a later incarnation; the new incarnation, which numbers its ends from 1, discarded the end of a run that the leader had not seen.

Now a poll acknowledges only while nothing can have begun in an incarnation that the leader has not seen: the last poll was answered, no later incarnation is recorded, no start request is on its way, and all runs that the worker may have started are listed. A start after an unanswered acknowledgement raises the fencing token (term and epoch), so that a late poll is refused; so does the begin of a new incarnation.

Tests of the fencing token compare with valueOf({term, 1}) in place of the term: as strict, since the token now has an epoch. A leader of an older version is refused by workers that have seen a token of this one, so update all control instances together.

--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -218,6 +218,7 @@
     m_schedulerState = {};
     m_gangs = {};
     m_health.clear();
+    m_lastEpoch = 0;
     m_pendingAssignments = 0;
     m_passRequested = false;
     m_leaseEnd = monotonicNow() + localLeaseTime(m_bounds.maxLease) + earlierLeaseMargin;
@@ -295,6 +296,7 @@
     host.client = &m_client;
     host.bounds = m_bounds;
     host.term = m_term;
+    host.takeEpoch = [this] { return ++m_lastEpoch; };
     host.state = [this]() -> const batch::batch_state& { return m_state; };
     host.mayExecute = [this] { return m_leading && m_link.mayExecute(); };
     host.propose = [this](batch::batch_command command, std::function<void(proposal_result)> done) {
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -122,6 +122,8 @@
     batch::scheduler_state m_schedulerState;
     gang_start_tracker m_gangs;
     std::uint64_t m_term = 0;
+    /// Last epoch of a fencing token in this term.
+    std::uint64_t m_lastEpoch = 0;
     log_time m_leaseEnd;
     /// Time that the last scheduling pass took.
     log_duration m_lastPassTime {};
--- a/chervilport/control/run_tracker.cpp
+++ b/chervilport/control/run_tracker.cpp
@@ -27,6 +27,13 @@
 
 bool hasSuspects(const batch::worker_crashed& crash) { return !crash.runs.empty() || !crash.unconfirmedRuns.empty(); }
 
+bool isUnlisted(const run_tracker& tracker)
+{
+    const bool mayBeStarted
+        = tracker.mayHaveArrived || tracker.phase == start_phase::InFlight || tracker.phase == start_phase::Confirmed;
+    return mayBeStarted && !tracker.isListed;
+}
+
 failed_start_action recordFailedStart(run_tracker& tracker, worker_reply reply)
 {
     tracker.mayHaveArrived = tracker.mayHaveArrived || reply != worker_reply::NotSent;
--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -38,6 +38,8 @@
     bool mayHaveArrived = false;
     /// Whether the worker confirmed or reported that it executes the run.
     bool hasRun = false;
+    /// Whether the current incarnation of the worker has listed the run, or its end.
+    bool isListed = false;
     /// Whether this instance sent the start request, without a checkpoint.
     bool startedFromScratch = false;
     /// When the start was confirmed.
@@ -65,6 +67,9 @@
 /// Returns whether the crash has suspects.
 bool hasSuspects(const batch::worker_crashed&);
 
+/// Returns whether the worker may have started the run and has not listed it, so that it may be in any incarnation.
+bool isUnlisted(const run_tracker&);
+
 /// What follows a start request that failed.
 enum class failed_start_action : std::uint8_t {
     /// The request may succeed later.
--- a/chervilport/control/session_host.h
+++ b/chervilport/control/session_host.h
@@ -26,6 +26,8 @@
     worker_bounds bounds;
     /// Term of the leader.
     std::uint64_t term = 0;
+    /// Returns an epoch for fencing tokens above all that were returned in this term.
+    std::function<std::uint64_t()> takeEpoch;
     /// Returns the replicated state.
     std::function<const batch::batch_state&()> state;
     /// Returns whether this instance is the leader and no other instance can be.
--- a/chervilport/control/worker_client.h
+++ b/chervilport/control/worker_client.h
@@ -26,7 +26,7 @@
 enum class worker_reply : std::uint8_t {
     /// The request was executed.
     Done,
-    /// The worker has accepted requests of a leader with a higher term.
+    /// The worker has accepted requests with a higher fencing token.
     Fenced,
     /// The run is not newer than a run of the task that ended or was stopped on the worker.
     OutdatedRun,
@@ -67,7 +67,7 @@
     std::string spec;
     /// End of the lease of all runs on the worker, on the worker's clock.
     std::int64_t leaseUntilMs = 0;
-    /// Term of the leader; a worker refuses requests with a lower term than the highest it has seen.
+    /// Value of the fencing token; a worker refuses requests with a lower one than the highest it has seen.
     std::uint64_t fencingToken = 0;
     /// Checkpoint to start from; empty for none.
     std::string checkpoint;
@@ -77,7 +77,7 @@
 struct stop_request {
     /// Run to stop.
     batch::run_ref run;
-    /// Term of the leader.
+    /// Value of the fencing token.
     std::uint64_t fencingToken = 0;
 };
 
@@ -85,7 +85,7 @@
 struct poll_request {
     /// New end of the lease on the worker's clock; nothing when the lease is not renewed.
     std::optional<std::int64_t> leaseUntilMs;
-    /// Term of the leader.
+    /// Value of the fencing token.
     std::uint64_t fencingToken = 0;
     /// Ends up to this number are committed; the worker can discard them.
     std::uint64_t acknowledgedEnd = 0;
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -1,6 +1,7 @@
 #include "chervilport/control/worker_session.h"
 
 #include "chervilport/batch/run_accounting.h"
+#include "chervilport/control/fencing_token.h"
 #include "chervilport/control/session_log.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
@@ -16,6 +17,8 @@
     /// Longest time for which a poll waits for the end of a run. While the worker responds, the lease is renewed as
     /// often.
     constexpr std::chrono::milliseconds pollWait { 2'000 };
+    /// The same while an acknowledgement is withheld, so that it is not delayed for long.
+    constexpr std::chrono::milliseconds withheldPollWait { 200 };
     /// Backoff between polls without a response.
     constexpr std::chrono::milliseconds firstPollBackoff { 200 };
     constexpr std::chrono::milliseconds maxPollBackoff { 1'600 };
@@ -34,6 +37,7 @@
 worker_session::worker_session(session_host host, batch::worker_number worker, log_time leaseEnd)
     : m_host(std::move(host))
     , m_worker(worker)
+    , m_epoch(m_host.takeEpoch())
     , m_now(monotonicNow())
 {
     m_clock.leaseEnd = leaseEnd;
@@ -57,6 +61,8 @@
     return worker == nullptr ? worker_target {} : worker_target { worker->report.address, worker->report.id };
 }
 
+std::uint64_t worker_session::fencingToken() const { return valueOf({ m_host.term, m_epoch }); }
+
 void worker_session::open()
 {
     for (const auto& run : batch::runsOn(m_host.state(), m_worker)) {
@@ -117,9 +123,9 @@
     }
     // Poll until the first response, after a restart or a confirmed stop, while there are runs or ends to acknowledge,
     // and while the worker does not respond.
-    const bool mustAcknowledge = m_lastListedEnd > m_acknowledgedEnd && m_pendingProposals == 0;
+    const bool hasEnds = mustAcknowledge(m_ends) && m_pendingProposals == 0;
     const bool shouldPoll
-        = !m_polled || hasRestarted() || !m_runs.empty() || mustAcknowledge || m_pollAgain || m_failedPolls > 0;
+        = !m_polled || hasRestarted() || !m_runs.empty() || hasEnds || m_pollAgain || m_failedPolls > 0;
     if (shouldPoll && !m_pollInFlight && now >= m_nextPoll)
         poll();
 }
@@ -131,21 +137,24 @@
         return;
     const auto now = monotonicNow();
     poll_request request;
-    request.fencingToken = m_host.term;
-    if (m_lastListedEnd > m_acknowledgedEnd)
-        logEndsAcknowledged(name(), m_lastListedEnd, m_incarnation, recordedIncarnation());
-    m_acknowledgedEnd = std::max(m_acknowledgedEnd, m_lastListedEnd);
-    request.acknowledgedEnd = m_acknowledgedEnd;
+    request.fencingToken = fencingToken();
+    commitListedEnds(m_ends);
+    const bool isWithheld = mustAcknowledge(m_ends) && !mayAcknowledge();
+    if (mustAcknowledge(m_ends) && !isWithheld) {
+        request.acknowledgedEnd = m_ends.committed;
+        logEndsAcknowledged(name(), m_ends.committed, m_incarnation, recordedIncarnation());
+    }
+    recordAcknowledgementSent(m_ends, request.acknowledgedEnd);
     // Do not renew the lease in a poll that may stay without a response, or the runs of a lost worker would never end.
     // In a poll that reaches another incarnation, the end of the lease would refer to the wrong clock.
     const bool expectsResponse = m_failedPolls == 0 && !hasRestarted() && !m_runs.empty();
     if (m_clock.readingMs && expectsResponse)
         request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
     if (m_polled && expectsResponse && !m_pollAgain)
-        request.wait = pollWait;
+        request.wait = isWithheld ? withheldPollWait : pollWait;
     m_pollInFlight = true;
     m_pollAgain = false;
-    const sent_poll sent { now, recordedIncarnation(), request.acknowledgedEnd };
+    const sent_poll sent { now, m_incarnation, recordedIncarnation(), request.acknowledgedEnd, request.fencingToken };
     m_host.client->poll(target(), request, [self = shared_from_this(), sent](const poll_response& response) {
         self->m_pollInFlight = false;
         if (!self->m_closed && !self->m_incarnationEnded)
@@ -153,6 +162,15 @@
     });
 }
 
+bool worker_session::mayAcknowledge() const
+{
+    // A request reaches whichever incarnation is at the address. As long as no start request is on its way and every
+    // run that the worker may have started was listed by the current incarnation, a later one has started none, and has
+    // no ends to discard.
+    return m_failedPolls == 0 && !hasRestarted() && m_startsInFlight == 0
+        && std::none_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return isUnlisted(entry.second); });
+}
+
 void worker_session::recordResult(const worker_result& result)
 {
     m_now = monotonicNow();
@@ -160,10 +178,8 @@
     if (result.reply == worker_reply::IncarnationMismatch)
         return;
     // Another incarnation numbers its ends from 1 again, so do not acknowledge them with the earlier numbers.
-    if (result.clockMs && isOfAnotherIncarnation(m_clock, *result.clockMs)) {
-        m_acknowledgedEnd = 0;
-        m_lastListedEnd = 0;
-    }
+    if (result.clockMs && isOfAnotherIncarnation(m_clock, *result.clockMs))
+        restartNumbering(m_ends);
     if (result.clockMs)
         recordReading(m_clock, *result.clockMs, m_now);
 }
@@ -172,7 +188,7 @@
 {
     recordResult(response.result);
     if (response.result.reply != worker_reply::Done) {
-        handleFailedPoll(response.result, sent.recordedIncarnation);
+        handleFailedPoll(response.result, sent);
         return;
     }
     const auto* const worker = record();
@@ -189,6 +205,8 @@
         beginIncarnation(incarnation);
         reconcileEarlierIncarnation(response);
     }
+    const bool isSameIncarnation = incarnation == sent.incarnation;
+    recordAcknowledgementResult(m_ends, sent.acknowledgedEnd, isSameIncarnation, false);
     // Mark the worker as reachable.
     const bool wasUsable = isUsable();
     if (!m_polled || m_failedPolls > 0)
@@ -208,22 +226,31 @@
     }
     if (!wasUsable)
         m_host.changed();
-    const bool mustAcknowledge = m_lastListedEnd > m_acknowledgedEnd;
-    if (m_pendingProposals == 0 && (!m_runs.empty() || mustAcknowledge))
+    const bool canAcknowledge = mustAcknowledge(m_ends) && mayAcknowledge();
+    if (m_pendingProposals == 0 && (!m_runs.empty() || canAcknowledge))
         poll();
 }
 
 void worker_session::beginIncarnation(std::int64_t incarnation)
 {
     m_incarnation = incarnation;
-    m_acknowledgedEnd = 0;
-    m_lastListedEnd = 0;
+    restartNumbering(m_ends);
+    for (auto& [run, tracker] : m_runs)
+        tracker.isListed = false;
+    // The worker refuses requests that were meant for the earlier incarnation and are still on their way.
+    beginEpoch();
     // Requests that the new incarnation accepted named a lease on the earlier clock. A worker limits such a lease to
     // `maxLease`.
     m_clock = {};
     m_clock.leaseEnd = m_now + localLeaseTime(m_host.bounds.maxLease);
 }
 
+void worker_session::beginEpoch()
+{
+    m_epoch = m_host.takeEpoch();
+    m_ends.isUnsettled = false;
+}
+
 void worker_session::reconcileEarlierIncarnation(const poll_response& response)
 {
     if (response.result.clockMs)
@@ -239,10 +266,17 @@
     }
 }
 
-void worker_session::handleFailedPoll(const worker_result& result, std::int64_t incarnation)
+void worker_session::handleFailedPoll(const worker_result& result, const sent_poll& sent)
 {
-    if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
+    const bool canBeExecuted = result.reply == worker_reply::NoResponse;
+    recordAcknowledgementResult(m_ends, sent.acknowledgedEnd, false, canBeExecuted);
+    if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(sent.recordedIncarnation))
         return;
+    // A start request of a later epoch was executed first.
+    if (result.reply == worker_reply::Fenced && sent.fencingToken < fencingToken()) {
+        m_pollAgain = true;
+        return;
+    }
     ++m_failedPolls;
     if (m_failedPolls == 1) {
         logWorkerUnreachable(name(), result, m_runs.size());
@@ -254,13 +288,16 @@
 void worker_session::reconcileEnds(const poll_response& response)
 {
     for (const auto& reported : response.ended) {
-        if (reported.number <= m_acknowledgedEnd)
+        if (reported.number <= m_ends.committed)
             continue;
-        m_lastListedEnd = std::max(m_lastListedEnd, reported.number);
+        m_ends.listed = std::max(m_ends.listed, reported.number);
         const auto found = m_runs.find(reported.run);
-        if (found == m_runs.end())
+        if (found == m_runs.end()) {
             logUnmatchedEnd(reported, name());
-        if (found == m_runs.end() || found->second.endProposed)
+            continue;
+        }
+        found->second.isListed = true;
+        if (found->second.endProposed)
             continue;
         if (!reported.checkpoint.empty())
             found->second.checkpoint = reported.checkpoint;
@@ -278,6 +315,7 @@
         }
         auto& tracker = found->second;
         tracker.hasRun = true;
+        tracker.isListed = true;
         if (tracker.phase != start_phase::Confirmed)
             confirmStart(tracker);
         if (!reported.checkpoint.empty())
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/worker_record.h"
+#include "chervilport/control/end_acknowledgement.h"
 #include "chervilport/control/run_tracker.h"
 #include "chervilport/control/session_host.h"
 #include "chervilport/control/worker_clock.h"
@@ -58,18 +59,24 @@
     struct sent_poll {
         /// When it was sent.
         log_time at;
-        /// Recorded incarnation of the worker, Unix milliseconds.
+        /// Incarnation of the worker that was polled last, and the recorded one, Unix milliseconds.
+        std::int64_t incarnation = 0;
         std::int64_t recordedIncarnation = 0;
         /// Number up to which it acknowledged ends.
         std::uint64_t acknowledgedEnd = 0;
+        /// Its fencing token.
+        std::uint64_t fencingToken = 0;
     };
 
     const batch::worker_record* record() const;
     std::string name() const;
     worker_target target() const;
+    std::uint64_t fencingToken() const;
+    bool mayAcknowledge() const;
+    void beginEpoch();
     void poll();
     void handlePoll(const poll_response&, const sent_poll&);
-    void handleFailedPoll(const worker_result&, std::int64_t incarnation);
+    void handleFailedPoll(const worker_result&, const sent_poll&);
     void recordResult(const worker_result&);
     bool hasRestarted() const;
     void proposeCrash(const std::set<batch::run_ref>& executedSince);
@@ -82,7 +89,7 @@
     void sendStart(run_tracker&);
     void withholdStart(run_tracker&, const batch::worker_record&);
     void abandonStart(run_tracker&);
-    void handleStart(const batch::run_ref&, const worker_result&, std::int64_t incarnation);
+    void handleStart(const batch::run_ref&, const worker_result&, std::int64_t incarnation, std::uint64_t fencingToken);
     void retryOrAbandon(run_tracker&, const worker_result&);
     void sendStop(run_tracker&);
     void confirmStart(run_tracker&);
@@ -96,6 +103,8 @@
 
     session_host m_host;
     batch::worker_number m_worker;
+    /// Epoch of the fencing token of new requests.
+    std::uint64_t m_epoch = 0;
     worker_clock m_clock;
     /// Start time of the worker's current incarnation, Unix milliseconds.
     std::int64_t m_incarnation = 0;
@@ -107,9 +116,9 @@
     log_time m_unhealthyUntil;
     /// Earliest end of a worker that drains.
     log_time m_earliestEnd;
-    std::uint64_t m_acknowledgedEnd = 0;
-    std::uint64_t m_lastListedEnd = 0;
+    end_acknowledgement m_ends;
     int m_failedPolls = 0;
+    int m_startsInFlight = 0;
     int m_pendingProposals = 0;
     bool m_polled = false;
     bool m_pollInFlight = false;
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -32,22 +32,27 @@
         withholdStart(tracker, *worker);
         return;
     }
+    // The acknowledgement of an earlier incarnation must not discard the end of this run.
+    if (m_ends.isUnsettled)
+        beginEpoch();
     const auto now = monotonicNow();
     start_request request;
     request.run = tracker.run;
     request.spec = job->request.spec;
-    request.fencingToken = m_host.term;
+    request.fencingToken = fencingToken();
     request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
     if (const auto* const task = batch::findTask(m_host.state(), tracker.run.task))
         request.checkpoint = task->checkpoint;
     ++tracker.attempts;
     tracker.startedFromScratch = tracker.attempts == 1 && request.checkpoint.empty();
     tracker.phase = start_phase::InFlight;
+    ++m_startsInFlight;
     m_host.client->start(target(), request,
-        [self = shared_from_this(), run = tracker.run, incarnation = recordedIncarnation()](
-            const worker_result& result) {
+        [self = shared_from_this(), run = tracker.run, incarnation = recordedIncarnation(),
+            token = request.fencingToken](const worker_result& result) {
+            --self->m_startsInFlight;
             if (!self->m_closed && !self->m_incarnationEnded)
-                self->handleStart(run, result, incarnation);
+                self->handleStart(run, result, incarnation, token);
         });
 }
 
@@ -67,7 +72,8 @@
     sendStop(tracker);
 }
 
-void worker_session::handleStart(const batch::run_ref& run, const worker_result& result, std::int64_t incarnation)
+void worker_session::handleStart(
+    const batch::run_ref& run, const worker_result& result, std::int64_t incarnation, std::uint64_t token)
 {
     recordResult(result);
     if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
@@ -87,6 +93,11 @@
             poll();
         return;
     }
+    // A request of a later epoch was executed first.
+    if (result.reply == worker_reply::Fenced && token < fencingToken()) {
+        tracker.phase = start_phase::Retry;
+        return;
+    }
     retryOrAbandon(tracker, result);
 }
 
@@ -124,7 +135,7 @@
     if (tracker.stopInFlight || tracker.stopConfirmed || tracker.endProposed || !m_host.mayExecute())
         return;
     tracker.stopInFlight = true;
-    const stop_request request { tracker.run, m_host.term };
+    const stop_request request { tracker.run, fencingToken() };
     const auto handle = [self = shared_from_this(), run = tracker.run, incarnation = m_incarnation,
                             recorded = recordedIncarnation()](const worker_result& result) {
         if (self->m_closed || self->m_incarnationEnded)
@@ -153,7 +164,7 @@
 void worker_session::stopOrphan(const batch::run_ref& run)
 {
     logUnexpectedRun("stray_run_stopped", run, name());
-    m_host.client->stop(target(), { run, m_host.term }, [self = shared_from_this()](const worker_result& result) {
+    m_host.client->stop(target(), { run, fencingToken() }, [self = shared_from_this()](const worker_result& result) {
         if (!self->m_closed)
             self->recordResult(result);
     });
@@ -181,7 +192,7 @@
 {
     logUncommittedEnd(run, name(), kind, result);
     // Do not acknowledge the ends listed since, so that the worker lists them again.
-    m_lastListedEnd = m_acknowledgedEnd;
+    forgetUncommittedEnds(m_ends);
     m_pollAgain = true;
     m_nextPoll = m_now + uncommittedEndBackoff;
     const auto found = m_runs.find(run);
--- a/tests/control/acknowledgement_test.cpp
+++ b/tests/control/acknowledgement_test.cpp
@@ -78,3 +78,67 @@
     cr_assert_eq(fixture.ends().size(), 2);
     cr_assert(fixture.ends().back() == batch::run_end_kind::Done);
 }
+
+// Guards against the same loss when the worker restarts unseen between a response and the next poll, and the run was
+// started in between: nothing shows yet in which incarnation.
+Test(workerSession, acknowledgementWaitsUntilAllStartedRunsAreListed)
+{
+    session_fixture fixture;
+    batch::job_request request;
+    request.id = "other";
+    request.steps = { {} };
+    fixture.apply(batch::job_submitted { request, "q", "main" });
+    const batch::run_ref otherRun { { "other", 0, 0, 0 }, 1 };
+    fixture.assign(1);
+    fixture.worker.incarnation = 10;
+    fixture.worker.running = { { firstRun, "", 0 } };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    // The poll in flight lists the end of the first run, and was answered before the other run was started.
+    fixture.worker.running = {};
+    fixture.worker.ended = { { 1, firstRun, batch::run_end_kind::Done, "" } };
+    fixture.apply(batch::run_assigned { otherRun, fixture.number });
+    session->startRun(otherRun);
+    fixture.worker.heldPoll();
+    fixture.runReady();
+    cr_assert_eq(fixture.ends().size(), 1);
+    cr_assert_eq(fixture.worker.polls.back().acknowledgedEnd, 0);
+    // Once the other run is listed, the end is acknowledged.
+    fixture.worker.running = { { otherRun, "", 0 } };
+    fixture.worker.heldPoll();
+    fixture.runReady();
+    cr_assert_eq(fixture.worker.polls.back().acknowledgedEnd, 1);
+}
+
+// Guards against the same loss when a poll is overtaken by the start of a run or executed late: the worker refuses a
+// poll whose fencing token is lower than that of the start.
+Test(workerSession, startAfterAnUnansweredAcknowledgementRaisesTheFencingToken)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.incarnation = 10;
+    fixture.worker.ended = { { 57, firstRun, batch::run_end_kind::Stopped, "" } };
+    fixture.worker.pollReplies = { worker_reply::Done, worker_reply::NoResponse };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    const auto acknowledging = fixture.worker.polls.back();
+    cr_assert_eq(acknowledging.acknowledgedEnd, 57);
+    fixture.assign(2);
+    session->startRun(secondRun);
+    cr_assert_gt(fixture.worker.starts.back().fencingToken, acknowledging.fencingToken);
+}
+
+// Guards against a session that is refused for good: the same incarnation of a worker was removed and recorded again,
+// and has seen the tokens of the earlier session.
+Test(workerSession, nextSessionBeginsWithAHigherFencingToken)
+{
+    restart_fixture fixture;
+    fixture.startAndEndSecondRun();
+    const auto last = fixture.worker.starts.back().fencingToken;
+    fixture.session->close();
+    fixture.session = fixture.makeSession();
+    fixture.session->open();
+    cr_assert_gt(fixture.worker.polls.back().fencingToken, last);
+}
--- a/tests/control/session_fixture.h
+++ b/tests/control/session_fixture.h
@@ -61,6 +61,7 @@
         host.context = &context;
         host.client = &client;
         host.term = term;
+        host.takeEpoch = [this] { return ++lastEpoch; };
         host.state = [this]() -> const batch::batch_state& { return state; };
         host.mayExecute = [this] { return isLeader; };
         host.propose = [this](batch::batch_command command, const std::function<void(proposal_result)>& done) {
@@ -136,6 +137,7 @@
     /// Results of the next proposals, which are not applied.
     std::deque<proposal_result> failedProposals;
     bool isLeader = true;
+    std::uint64_t lastEpoch = 0;
 };
 
 inline const batch::run_ref firstRun { { "job", 0, 0, 0 }, 1 };
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -1,3 +1,4 @@
+#include "chervilport/control/fencing_token.h"
 #include "tests/control/session_fixture.h"
 
 #include <criterion/criterion.h>
@@ -18,7 +19,7 @@
     fixture.runReady();
     cr_assert(session->isUsable());
     cr_assert_eq(fixture.worker.starts.size(), 1);
-    cr_assert_eq(fixture.worker.starts.front().fencingToken, term);
+    cr_assert_eq(fixture.worker.starts.front().fencingToken, valueOf({ term, 1 }));
     cr_assert(fixture.worker.starts.front().spec == "work");
 }
 
@@ -148,7 +149,7 @@
     }
     cr_assert_eq(fixture.worker.starts.size(), 4);
     cr_assert_geq(fixture.worker.stops.size(), 1);
-    cr_assert_eq(fixture.worker.stops.front().fencingToken, term);
+    cr_assert_eq(fixture.worker.stops.front().fencingToken, valueOf({ term, 1 }));
 }
 
 // Guards against a run that stays assigned although no start request for it left the leader.
