Count no crash for a run that the next incarnation executed

Cause: a run whose lease expires on a silent worker counts as a suspect once the worker turns out to be a new incarnation, also when that incarnation lists the run itself. The suspects are now compared with what the new incarnation lists. The test failed before (one crash counted).

--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -363,6 +363,9 @@
 {
     auto crash = std::exchange(m_expiredRuns, {});
     crash.worker = m_worker;
+    const auto isExecutedSince = [&](const batch::run_ref& run) { return executedSince.contains(run); };
+    std::erase_if(crash.runs, isExecutedSince);
+    std::erase_if(crash.unconfirmedRuns, isExecutedSince);
     for (const auto& [run, tracker] : m_runs) {
         if (!tracker.endProposed && !executedSince.contains(run))
             addSuspect(crash, tracker);
--- a/tests/control/worker_restart_test.cpp
+++ b/tests/control/worker_restart_test.cpp
@@ -256,3 +256,16 @@
     fixture.runReady();
     cr_assert(fixture.state.workers.empty());
 }
+
+// Guards against a job that is given up for a crash that its run did not see: the lease of the run expired on a worker
+// that was cut off, and the next incarnation, which the leader had not seen yet, had executed the run.
+Test(workerSession, expiredRunOfTheNewIncarnationHasNotCrashed)
+{
+    session_fixture fixture;
+    const auto session = fixture.loseRunOnSilentWorker();
+    fixture.worker.incarnation = 99;
+    fixture.worker.ended = { { 1, firstRun, batch::run_end_kind::Lost, "" } };
+    session->tick(monotonicNow() + 61s);
+    fixture.runReady();
+    cr_assert_eq(fixture.crashes(), 0);
+}
