Count the lease of an unanswered request from its latest arrival

A lease names a time on the clock of the incarnation that the leader knows, and the worker limits it to maxLease. A start that reaches a new incarnation late, for instance after its first packets were lost, therefore begins a lease of maxLease there when it arrives, up to 0.8 s after it was sent; the leader counted from the sending, with 0.1 s to spare, so a task could start elsewhere while its first run still had a lease.

A start counts from its completion now, and an unanswered poll that grants a lease from one second after it was sent at most. The test failed before: the run was ended 10.45 s after a start whose request completed 0.3 s after it was sent.

--- a/chervilport/control/worker_clock.cpp
+++ b/chervilport/control/worker_clock.cpp
@@ -42,6 +42,11 @@
     return clock.readingMs && readingMs + clockStepBackMs < *clock.readingMs;
 }
 
+void extendLeases(worker_clock& clock, std::chrono::milliseconds maxLength, log_time arrival)
+{
+    clock.leaseEnd = std::max(clock.leaseEnd, arrival + localLeaseTime(maxLength));
+}
+
 std::int64_t grantLease(worker_clock& clock, std::chrono::milliseconds length, log_time now)
 {
     assert(clock.readingMs);
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -19,6 +19,9 @@
     constexpr std::chrono::milliseconds pollWait { 2'000 };
     /// The same while an acknowledgement is withheld, so that it is not delayed for long.
     constexpr std::chrono::milliseconds withheldPollWait { 200 };
+    /// Longest time in which a request without a response reaches a worker: a connection is opened within it or not at
+    /// all, and an open one leads to the incarnation that opened it.
+    constexpr std::chrono::milliseconds maxRequestDelay { 1'000 };
     /// Backoff between polls without a response.
     constexpr std::chrono::milliseconds firstPollBackoff { 200 };
     constexpr std::chrono::milliseconds maxPollBackoff { 1'600 };
@@ -154,7 +157,8 @@
         request.wait = isWithheld ? withheldPollWait : pollWait;
     m_pollInFlight = true;
     m_pollAgain = false;
-    const sent_poll sent { now, m_incarnation, recordedIncarnation(), request.acknowledgedEnd, request.fencingToken };
+    const sent_poll sent { now, m_incarnation, recordedIncarnation(), request.acknowledgedEnd, request.fencingToken,
+        request.leaseUntilMs.has_value() };
     m_host.client->poll(target(), request, [self = shared_from_this(), sent](const poll_response& response) {
         self->m_pollInFlight = false;
         if (!self->m_closed && !self->m_incarnationEnded)
@@ -269,6 +273,8 @@
 void worker_session::handleFailedPoll(const worker_result& result, const sent_poll& sent)
 {
     const bool canBeExecuted = result.reply == worker_reply::NoResponse;
+    if (canBeExecuted && sent.grantsLease)
+        extendLeases(m_clock, m_host.bounds.maxLease, std::min(m_now, sent.at + maxRequestDelay));
     recordAcknowledgementResult(m_ends, sent.acknowledgedEnd, false, canBeExecuted);
     if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(sent.recordedIncarnation))
         return;
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -66,6 +66,8 @@
         std::uint64_t acknowledgedEnd = 0;
         /// Its fencing token.
         std::uint64_t fencingToken = 0;
+        /// Whether it grants a lease.
+        bool grantsLease = false;
     };
 
     const batch::worker_record* record() const;
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -78,6 +78,8 @@
     recordResult(result);
     if (result.reply == worker_reply::IncarnationMismatch && endIncarnation(incarnation))
         return;
+    if (result.reply != worker_reply::NotSent)
+        extendLeases(m_clock, m_host.bounds.maxLease, m_now);
     const auto found = m_runs.find(run);
     if (found == m_runs.end())
         return;
--- a/tests/control/fake_worker.cpp
+++ b/tests/control/fake_worker.cpp
@@ -40,7 +40,11 @@
         = [this](const worker_target&, const start_request& request, const std::function<void(worker_result)>& done) {
               starts.push_back(request);
               const auto reply = nextReply(startReplies);
-              asio::post(context, [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); });
+              const auto respond = [this, reply, done] { done({ reply, clockIn(*this, reply), {} }); };
+              if (holdStarts)
+                  heldStart = respond;
+              else
+                  asio::post(context, respond);
           };
     calls.stop
         = [this](const worker_target&, const stop_request& request, const std::function<void(worker_result)>& done) {
--- a/tests/control/fake_worker.h
+++ b/tests/control/fake_worker.h
@@ -38,6 +38,9 @@
     std::function<void()> heldPoll;
     /// Reply to the held poll in place of the scripted one.
     std::optional<worker_reply> heldPollReply;
+    /// Whether responses to start requests are held until `heldStart` is called.
+    bool holdStarts = false;
+    std::function<void()> heldStart;
     /// Whether responses to stop requests are held until `heldStop` is called.
     bool holdStops = false;
     std::function<void()> heldStop;
--- a/tests/control/worker_restart_test.cpp
+++ b/tests/control/worker_restart_test.cpp
@@ -269,3 +269,29 @@
     fixture.runReady();
     cr_assert_eq(fixture.crashes(), 0);
 }
+
+// Guards against two runs of a task at once: a start request without a response reaches a new incarnation late. The
+// lease there begins when the request arrives, and not, as on the clock of the earlier incarnation, when it is sent.
+Test(workerSession, leaseOfAnUnansweredStartBeginsWhenItArrivesAtTheLatest)
+{
+    session_fixture fixture;
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    fixture.assign(1);
+    fixture.worker.holdStarts = true;
+    fixture.worker.startReplies = { worker_reply::NoResponse };
+    fixture.worker.pollReplies.assign(40, worker_reply::NoResponse);
+    const auto sentAt = monotonicNow();
+    session->startRun(firstRun);
+    fixture.worker.heldPoll();
+    std::this_thread::sleep_for(300ms);
+    fixture.worker.heldStart();
+    // A clock that is 2 % slow ends a lease of 10 s after 10.2 s.
+    session->tick(sentAt + 10'450ms);
+    fixture.runReady();
+    cr_assert(fixture.ends().empty());
+    session->tick(sentAt + 11s);
+    fixture.runReady();
+    cr_assert_eq(fixture.ends().size(), 1);
+}
