Start no runs on a worker that executes runs the leader does not track

A worker that was reached again after a cut still ran a gang of 8 accelerators, and the leader, which had given that run up, started others beside it.

Cause by reading: a run that is listed and not tracked is stopped, but its use of the worker is not counted until the stop has taken effect. Now the worker takes no runs until a poll lists none that is unknown; assigned runs wait. The test failed before (usable, start sent beside the unknown run).

--- a/chervilport/control/worker_clock.h
+++ b/chervilport/control/worker_clock.h
@@ -29,8 +29,8 @@
 /// Grants a lease of this length and returns its end in milliseconds on the worker's clock. Requires a reading.
 std::int64_t grantLease(worker_clock&, std::chrono::milliseconds length, log_time now);
 
-/// Extends the recorded end of the leases for a request that granted one and may have reached another incarnation of the
-/// worker by `arrival`. On the clock of that incarnation the lease lasts for at most `maxLength` from its arrival.
+/// Extends the recorded end of the leases for a request that granted one and may have reached another incarnation of
+/// the worker by `arrival`. On the clock of that incarnation the lease lasts for at most `maxLength` from its arrival.
 void extendLeases(worker_clock&, std::chrono::milliseconds maxLength, log_time arrival);
 
 /// Returns the local time after which a lease of this length has expired even on the slowest clock of a worker.
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -17,8 +17,8 @@
     /// Longest time for which a poll waits for the end of a run. While the worker responds, the lease is renewed as
     /// often.
     constexpr std::chrono::milliseconds pollWait { 2'000 };
-    /// The same while an acknowledgement is withheld, so that it is not delayed for long.
-    constexpr std::chrono::milliseconds withheldPollWait { 200 };
+    /// The same while an acknowledgement or starts wait for the next response.
+    constexpr std::chrono::milliseconds shortPollWait { 200 };
     /// Longest time in which a request without a response reaches a worker: a connection is opened within it or not at
     /// all, and an open one leads to the incarnation that opened it.
     constexpr std::chrono::milliseconds maxRequestDelay { 1'000 };
@@ -127,8 +127,8 @@
     // Poll until the first response, after a restart or a confirmed stop, while there are runs or ends to acknowledge,
     // and while the worker does not respond.
     const bool hasEnds = mustAcknowledge(m_ends) && m_pendingProposals == 0;
-    const bool shouldPoll
-        = !m_polled || hasRestarted() || !m_runs.empty() || hasEnds || m_pollAgain || m_failedPolls > 0;
+    const bool shouldPoll = !m_polled || hasRestarted() || !m_runs.empty() || hasEnds || m_hasUnknownRuns || m_pollAgain
+        || m_failedPolls > 0;
     if (shouldPoll && !m_pollInFlight && now >= m_nextPoll)
         poll();
 }
@@ -154,7 +154,7 @@
     if (m_clock.readingMs && expectsResponse)
         request.leaseUntilMs = grantLease(m_clock, m_host.bounds.maxLease, now);
     if (m_polled && expectsResponse && !m_pollAgain)
-        request.wait = isWithheld ? withheldPollWait : pollWait;
+        request.wait = isWithheld || m_hasUnknownRuns ? shortPollWait : pollWait;
     m_pollInFlight = true;
     m_pollAgain = false;
     const sent_poll sent { now, m_incarnation, recordedIncarnation(), request.acknowledgedEnd, request.fencingToken,
@@ -313,9 +313,11 @@
 
 void worker_session::reconcileRunning(const poll_response& response)
 {
+    m_hasUnknownRuns = false;
     for (const auto& reported : response.running) {
         const auto found = m_runs.find(reported.run);
         if (found == m_runs.end()) {
+            m_hasUnknownRuns = true;
             stopOrphan(reported.run);
             continue;
         }
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -36,9 +36,9 @@
     /// Returns whether the worker has confirmed the start of a run in this term.
     bool hasStarted(const batch::run_ref&) const;
 
-    /// Returns whether new runs may be placed: the worker has responded in this term and to the last poll, and
-    /// the backoff after an unhealthy response is over.
-    bool isUsable() const { return m_polled && m_failedPolls == 0 && m_unhealthyUntil <= m_now; }
+    /// Returns whether new runs may be placed: the worker has responded in this term and to the last poll, executes no
+    /// run that the leader does not track, and the backoff after an unhealthy response is over.
+    bool isUsable() const { return m_polled && m_failedPolls == 0 && !m_hasUnknownRuns && m_unhealthyUntil <= m_now; }
 
     /// Proposes to record a crash of the worker under the runs that it executed or may have executed, unless the worker
     /// was draining. Called when its incarnation has ended.
@@ -123,6 +123,8 @@
     int m_startsInFlight = 0;
     int m_pendingProposals = 0;
     bool m_polled = false;
+    /// Whether the last poll listed runs that are not tracked. Their use of the worker is not accounted for.
+    bool m_hasUnknownRuns = false;
     bool m_pollInFlight = false;
     bool m_pollAgain = false;
     bool m_closed = false;
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -21,8 +21,8 @@
 void worker_session::sendStart(run_tracker& tracker)
 {
     const auto* const job = batch::findJob(m_host.state(), tracker.run.task.job);
-    if (job == nullptr || !m_clock.readingMs || !m_host.mayExecute() || tracker.phase == start_phase::InFlight
-        || tracker.phase == start_phase::Confirmed || tracker.endProposed)
+    if (job == nullptr || !m_clock.readingMs || !m_host.mayExecute() || m_hasUnknownRuns
+        || tracker.phase == start_phase::InFlight || tracker.phase == start_phase::Confirmed || tracker.endProposed)
         return;
     const auto* const worker = record();
     // The worker may have shrunk since the run was assigned, and a start would bring it over its capacity.
--- a/tests/control/worker_restart_test.cpp
+++ b/tests/control/worker_restart_test.cpp
@@ -295,3 +295,26 @@
     fixture.runReady();
     cr_assert_eq(fixture.ends().size(), 1);
 }
+
+// Guards against a worker over its capacity: it still runs what the leader has given up, and gets new runs before that
+// has ended.
+Test(workerSession, runThatIsNotTrackedDelaysStartsUntilItHasEnded)
+{
+    session_fixture fixture;
+    const batch::run_ref stray { { "gone", 0, 0, 0 }, 1 };
+    fixture.worker.incarnation = 10;
+    fixture.worker.running = { { stray, "", 0 } };
+    fixture.assign(1);
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    cr_assert(!session->isUsable());
+    cr_assert(fixture.worker.starts.empty());
+    cr_assert_geq(fixture.worker.stops.size(), 1);
+    cr_assert(fixture.worker.stops.front().run == stray);
+    fixture.worker.running.clear();
+    fixture.worker.heldPoll();
+    fixture.runReady();
+    cr_assert(session->isUsable());
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+}
