Soak: let the clock of an executor begin at another reading each time

The executor's clock began at 0 in each incarnation, so that a restart always showed as a step back of the clock, which resets the numbers of ends. Now the clock of the next incarnation is ahead of the last one or behind it.

--- a/tests/soak/fake_executor.cpp
+++ b/tests/soak/fake_executor.cpp
@@ -22,6 +22,10 @@
     /// Working time after which a run fails while `failsRuns` is active.
     constexpr auto failDelay = 100ms;
     constexpr std::size_t maxReportedEnds = 500;
+    /// The clocks of successive incarnations start apart by this step, within this range, so that a clock is ahead of
+    /// that of the earlier incarnation or behind it.
+    constexpr auto clockStep = 370s;
+    constexpr auto clockRange = 900s;
 
     http_response json(int status, const nlohmann::json& body)
     {
@@ -62,6 +66,7 @@
     if (!keepsId || m_id.empty())
         m_id = m_baseId + '-' + std::to_string(++m_idSuffix);
     m_incarnationStart = std::chrono::steady_clock::now();
+    m_clockStart = clockStep * ++m_incarnations % clockRange;
     m_incarnation
         = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count();
@@ -75,8 +80,9 @@
 
 std::int64_t fake_executor::clockMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_incarnationStart)
-        .count();
+    const auto age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_incarnationStart);
+    return (m_clockStart + age).count();
 }
 
 nlohmann::json fake_executor::describe(
--- a/tests/soak/fake_executor.h
+++ b/tests/soak/fake_executor.h
@@ -127,6 +127,10 @@
     executor_bounds m_bounds;
     std::unique_ptr<executor_server> m_server;
     steady_time m_incarnationStart;
+    /// Reading of the clock at the start of the incarnation.
+    std::chrono::milliseconds m_clockStart { 0 };
+    /// Number of incarnations so far.
+    int m_incarnations = 0;
     std::int64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
     std::uint32_t m_idSuffix = 0;
