Name the type behind the fencing token leader_epoch

fencing_token is also the name of the platform's field, which only platform/ knows. The type holds the term and the epoch of a leader; its value is the fencing token of a request.

--- a/chervilport/control/fencing_token.cpp
+++ b/chervilport/control/leader_epoch.cpp
@@ -1,4 +1,4 @@
-#include "chervilport/control/fencing_token.h"
+#include "chervilport/control/leader_epoch.h"
 
 #include <algorithm>
 
@@ -13,9 +13,9 @@
 
 } // namespace
 
-std::uint64_t valueOf(const fencing_token& token)
+std::uint64_t valueOf(const leader_epoch& leader)
 {
-    return (token.term << epochBits) + std::min(token.epoch, maxEpoch);
+    return (leader.term << epochBits) + std::min(leader.epoch, maxEpoch);
 }
 
 } // namespace chervilport
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -1,7 +1,7 @@
 #include "chervilport/control/worker_session.h"
 
 #include "chervilport/batch/run_accounting.h"
-#include "chervilport/control/fencing_token.h"
+#include "chervilport/control/leader_epoch.h"
 #include "chervilport/control/session_log.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
--- a/tests/control/fencing_token_test.cpp
+++ b/tests/control/leader_epoch_test.cpp
@@ -1,11 +1,11 @@
-#include "chervilport/control/fencing_token.h"
+#include "chervilport/control/leader_epoch.h"
 
 #include <criterion/criterion.h>
 
 using namespace chervilport;
 
 // Guards against requests of a leader that a worker refuses because an earlier leader used many epochs.
-Test(fencingToken, tokensOfALaterTermAreAboveAllEpochsOfAnEarlierOne)
+Test(leaderEpoch, tokensOfALaterTermAreAboveAllEpochsOfAnEarlierOne)
 {
     const auto manyEpochs = valueOf({ 7, ~std::uint64_t { 0 } });
     cr_assert_lt(valueOf({ 7, 1 }), valueOf({ 7, 2 }));
@@ -14,7 +14,7 @@
 }
 
 // Guards against a token that a JSON reader rounds.
-Test(fencingToken, isExactInJsonForMillionsOfTerms)
+Test(leaderEpoch, isExactInJsonForMillionsOfTerms)
 {
     constexpr std::uint64_t maxExactInteger = std::uint64_t { 1 } << 53;
     cr_assert_leq(valueOf({ 8'000'000, ~std::uint64_t { 0 } }), maxExactInteger);
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -1,4 +1,4 @@
-#include "chervilport/control/fencing_token.h"
+#include "chervilport/control/leader_epoch.h"
 #include "tests/control/session_fixture.h"
 
 #include <criterion/criterion.h>
