Order steps by the expected loss of value for each core-second

Cause: the lexicographic order put a step that had just missed its objective behind all steps that were on time, whatever their priority and however little these would have lost by waiting. Change: delay_cost says what a result is worth by its age; pass_order sorts by the expected loss while room becomes free, for each core-second that the job needs. Guaranteed steps and overdue services come before it as they did.

--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -2,7 +2,7 @@
 
 #include "chervilport/batch/gang_reservation.h"
 #include "chervilport/batch/guaranteed_jobs.h"
-#include "chervilport/batch/latency_objective.h"
+#include "chervilport/batch/pass_order.h"
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_accounting.h"
@@ -11,7 +11,6 @@
 #include "chervilport/batch/worker_slot.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace chervilport::batch {
 
@@ -99,43 +98,31 @@
         return current.nowMs - ready.jobDueMs > urgentReservationWaitMs;
     }
 
-    /// A ready step and the values that decide its order.
-    struct ranked_step {
-        ready_step step;
-        bool isGuaranteed = false;
-        /// Whether it is a long-running step that has waited. It is placed before gangs reserve the free workers for
-        /// themselves: its users are without service until it runs.
-        bool isOverdueService = false;
-        objective_status status = objective_status::OnTime;
-        bool isAtRisk = false;
-    };
-
-    std::vector<ranked_step> rankReadySteps(const pass& current)
+    std::vector<ordered_step> orderReadySteps(const pass& current)
     {
-        std::vector<ranked_step> ranked;
-        for (auto& each : separateSuspects(
-                 listReadySteps(current.state, current.nowMs), current.state, current.slots, current.nowMs)) {
+        const auto& estimates = current.schedulerState.estimates;
+        auto ready = separateSuspects(
+            listReadySteps(current.state, current.nowMs), current.state, current.slots, current.nowMs);
+        const auto waitMs = meanWaitMs(estimates, ready);
+        std::vector<ordered_step> ordered;
+        for (auto& each : ready) {
             const bool waits = hasWaited(current, each);
             each.mayUseUrgentReservation = each.job->priority == guaranteedPriority
                 || (waits && current.idleServices.contains(serviceOf(current.state, *each.job)))
                 || (current.bounds.maxStopMs <= maxFillerStopMs && specOf(each).checkpointing
                     && isFiller(*each.job, specOf(each)));
-            const auto status = objectiveStatusOf(current.state, current.schedulerState.estimates, each, current.nowMs);
+            ordered_step next { std::move(each) };
+            assessDelay(next, current.state, estimates, waitMs, current.nowMs);
             // A guaranteed job may reclaim capacity at once for its first start. After it has lost its runs, it may do
             // so only while it can still meet its objective.
-            const bool mayReclaim = status == objective_status::OnTime || !each.job->hasStarted;
-            const bool isGuaranteed = mayReclaim && current.guaranteed.contains(each.job->request.id);
-            const bool risk = isAtRisk(current.state, current.schedulerState.estimates, each, current.nowMs);
-            const bool isOverdueService = waits && specOf(each).longRunning;
-            ranked.push_back({ std::move(each), isGuaranteed, isOverdueService, status, risk });
+            const auto& job = *next.step.job;
+            const bool mayReclaim = next.isOnTime || !job.hasStarted;
+            next.isGuaranteed = mayReclaim && current.guaranteed.contains(job.request.id);
+            next.isOverdueService = waits && specOf(next.step).longRunning;
+            ordered.push_back(std::move(next));
         }
-        const auto key = [](const ranked_step& each) {
-            return std::tuple(!each.isGuaranteed, !each.isOverdueService, each.status, each.step.job->priority,
-                each.isAtRisk, each.step.jobDueMs);
-        };
-        std::stable_sort(ranked.begin(), ranked.end(),
-            [&](const ranked_step& left, const ranked_step& right) { return key(left) < key(right); });
-        return ranked;
+        sortForPass(ordered);
+        return ordered;
     }
 
     /// Returns the time that a step waits for the rack where it is fast, in milliseconds.
@@ -261,14 +248,16 @@
     auto gangBudget = makeGangReservationBudget(current.slots);
 
     // Place the ready steps in order of their rank.
-    for (auto& [each, isGuaranteed, isOverdueService, status, risk] : rankReadySteps(current)) {
+    for (auto& ordered : orderReadySteps(current)) {
+        auto& each = ordered.step;
+        const bool isGuaranteed = ordered.isGuaranteed;
         const auto& service = serviceOf(state, *each.job);
         // A long-running task keeps the worker for good, so it takes a reserved one only if there is no other.
-        if (isOverdueService && !anyFits(current, each, service))
+        if (ordered.isOverdueService && !anyFits(current, each, service))
             each.mayUseUrgentReservation = true;
-        const bool isUrgent = each.job->priority == guaranteedPriority && status == objective_status::OnTime;
+        const bool isUrgent = each.job->priority == guaranteedPriority && ordered.isOnTime;
         const bool mayPreempt = (isGuaranteed || isUrgent) && !each.needsEmptyWorker;
-        const bool mayReserve = !isGuaranteed && specOf(each).gang && status != objective_status::Expired;
+        const bool mayReserve = !isGuaranteed && specOf(each).gang && !ordered.isWorthless;
         if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
