Choose victims of preemption by the value that is lost, and by the speed of the worker

Change: a victim costs what its caller loses by the later result and what the lost work is worth to those who wait; a worker costs the step the value that it loses there.

--- a/chervilport/batch/pass_order.cpp
+++ b/chervilport/batch/pass_order.cpp
@@ -1,7 +1,5 @@
 #include "chervilport/batch/pass_order.h"
 
-#include "chervilport/batch/delay_cost.h"
-
 #include <algorithm>
 #include <tuple>
 
@@ -29,7 +27,8 @@
     std::int64_t nowMs)
 {
     const auto& ready = ordered.step;
-    const auto cost = delayCostOf(state, estimates, ready);
+    ordered.cost = delayCostOf(state, estimates, ready);
+    const auto& cost = ordered.cost;
     if (specOf(ready).longRunning || !hasObjective(cost)) {
         // Its caller is without service while it waits, however long that is.
         ordered.urgency = cost.value / cost.remainingWork;
@@ -41,6 +40,17 @@
     ordered.urgency = urgencyOf(cost, ageMs, meanWaitMs);
 }
 
+preemption_prices pricesOf(const std::vector<ordered_step>& steps, double meanWaitMs)
+{
+    double value = 0;
+    double work = 0;
+    for (const auto& each : steps) {
+        value += each.cost.value;
+        work += each.cost.remainingWork;
+    }
+    return { meanWaitMs, work > 0 ? value / work : 1 };
+}
+
 void sortForPass(std::vector<ordered_step>& steps)
 {
     const auto key = [](const ordered_step& each) {
--- a/chervilport/batch/pass_order.h
+++ b/chervilport/batch/pass_order.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chervilport/batch/delay_cost.h"
+#include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_estimates.h"
 
@@ -20,6 +22,8 @@
     bool isOnTime = true;
     /// Whether the result of its job is of no use any more.
     bool isWorthless = false;
+    /// Cost of a delay of its job.
+    delay_cost cost;
     /// Expected loss of value for each core-second if it waits; see `urgencyOf`.
     double urgency = 0;
 };
@@ -30,6 +34,9 @@
 /// Fills in the cost of a delay of the step.
 void assessDelay(ordered_step&, const batch_state&, const run_estimates&, double meanWaitMs, std::int64_t nowMs);
 
+/// Returns the prices of preemptions beside these waiting steps.
+preemption_prices pricesOf(const std::vector<ordered_step>&, double meanWaitMs);
+
 /// Sorts steps into the order in which a pass places them: guaranteed ones, overdue services, then by urgency; equal
 /// ones by priority and due time.
 void sortForPass(std::vector<ordered_step>&);
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -43,6 +43,8 @@
         worker_slots slots;
         /// Services of whose workers less than half of every resource is in use.
         std::set<std::string> idleServices;
+        /// What the loss of a preempted run is computed from.
+        preemption_prices prices;
         scheduling_result result;
     };
 
@@ -98,7 +100,7 @@
         return current.nowMs - ready.jobDueMs > urgentReservationWaitMs;
     }
 
-    std::vector<ordered_step> orderReadySteps(const pass& current)
+    std::vector<ordered_step> orderReadySteps(pass& current)
     {
         const auto& estimates = current.schedulerState.estimates;
         auto ready = separateSuspects(
@@ -122,6 +124,7 @@
             ordered.push_back(std::move(next));
         }
         sortForPass(ordered);
+        current.prices = pricesOf(ordered, waitMs);
         return ordered;
     }
 
@@ -175,10 +178,16 @@
         }
     }
 
-    void preemptFor(pass& current, std::vector<preemption_victim>& victims, const ready_step& ready,
-        const std::string& service, bool allowOffRack, victim_scope scope)
+    void preemptFor(pass& current, std::vector<preemption_victim>& victims, const ordered_step& ordered,
+        const std::string& service, bool allowOffRack)
     {
-        for (const auto& choice : choosePreemptions(current.slots, victims, ready, service, allowOffRack, scope)) {
+        const auto& ready = ordered.step;
+        const auto scope = ordered.isGuaranteed ? victim_scope::All : victim_scope::Fillers;
+        const auto ageMs = static_cast<double>(current.nowMs - ready.jobDueMs);
+        const auto slowLoss
+            = hasObjective(ordered.cost) ? lossOnSlowWorkers(current.slots, ordered.cost, ageMs) : slow_worker_loss {};
+        for (const auto& choice :
+            choosePreemptions(current.slots, victims, ready, slowLoss, service, allowOffRack, scope)) {
             const auto worker = current.slots[choice.slot].worker->number;
             current.schedulerState.reservations[worker] = { ready.job->request.id, current.nowMs + reservationMs };
             current.slots[choice.slot].reservedFor = ready.job->request.id;
@@ -284,11 +293,11 @@
             continue;
         // Preempt borrowers for the tasks of a guaranteed job that were not placed, and fillers for other urgent ones.
         if (!hasListedVictims)
-            victims = listVictims(state, current.guaranteed, schedulerState.stopping, nowMs);
+            victims = listVictims(
+                state, schedulerState.estimates, current.prices, current.guaranteed, schedulerState.stopping, nowMs);
         hasListedVictims = true;
         each.tasks.erase(each.tasks.begin(), each.tasks.begin() + static_cast<std::ptrdiff_t>(placed.size()));
-        const auto scope = isGuaranteed ? victim_scope::All : victim_scope::Fillers;
-        preemptFor(current, victims, each, service, allowOffRack, scope);
+        preemptFor(current, victims, ordered, service, allowOffRack);
     }
     return std::move(current.result);
 }
--- a/chervilport/batch/worker_speeds.cpp
+++ b/chervilport/batch/worker_speeds.cpp
@@ -23,8 +23,6 @@
     constexpr double minQueueSampleWeight = 0.02;
     /// Limit on the logarithm of the factor that one sample can show; a stalled run would show any factor.
     constexpr double maxLogSlowness = 1.6;
-    /// Ratio of the run times of neighbouring speed classes.
-    constexpr double speedClassRatio = 1.5;
     /// Minimum number of samples and change of the factor for a report to the log.
     constexpr std::uint32_t minReportedSamples = 3;
     constexpr double minReportedRatio = 1.4;
--- a/chervilport/batch/worker_speeds.h
+++ b/chervilport/batch/worker_speeds.h
@@ -73,6 +73,9 @@
     std::size_t samplesSinceRefresh = 0;
 };
 
+/// Ratio of the run times of neighbouring speed classes.
+inline constexpr double speedClassRatio = 1.5;
+
 /// Adds a sample.
 void recordPace(worker_speeds&, const pace_sample&);
 
--- a/tests/batch/scheduling_pass_test.cpp
+++ b/tests/batch/scheduling_pass_test.cpp
@@ -168,8 +168,8 @@
     site.advance(1'000);
     double otherLoss = 0;
     double urgentLoss = 0;
-    for (const auto& victim : listVictims(site.state(), {}, {}, 1'004'000))
-        (victim.run.task.job == other ? otherLoss : urgentLoss) += victim.lostWork;
+    for (const auto& victim : listVictims(site.state(), {}, {}, {}, {}, 1'004'000))
+        (victim.run.task.job == other ? otherLoss : urgentLoss) += victim.lostValue;
     cr_assert_gt(otherLoss, 0);
     cr_assert_gt(urgentLoss, otherLoss);
 }
