--- a/chervilport/batch/delay_cost.cpp
+++ b/chervilport/batch/delay_cost.cpp
@@ -23,9 +23,12 @@
     constexpr double runTimeDeviation = 0.3;
     /// Factor between the argument of the logistic function and that of the normal distribution that it approximates.
     constexpr double logisticScale = 1.7;
+    /// Part of the value that a job with slack counts with at least: the room that it is refused now is given to it
+    /// later, at the cost of others.
+    constexpr double minLossRatio = 0.1;
     /// Age after the expiry, as a ratio of the expiry, at which a job is as urgent as one that loses its late value
     /// now.
-    constexpr double starvationRatio = 4.0;
+    constexpr double starvationRatio = 10.0;
     /// Centres of the quarters of an exponential distribution with the mean 1.
     constexpr std::array<double, 4> waitQuantiles { 0.134, 0.470, 0.981, 2.079 };
 
@@ -117,8 +120,10 @@
     double loss = 0;
     for (const auto quantile : waitQuantiles)
         loss += delayLoss(cost, ageMs, quantile * meanWaitMs) / waitQuantiles.size();
+    if (ageMs + cost.remainingMs <= cost.expiryMs)
+        return std::max(loss, minLossRatio * cost.value) / cost.remainingWork;
     // The share of the value that a starving job counts with grows up to the late value.
-    const auto overdueMs = std::max(0.0, ageMs + cost.remainingMs - cost.expiryMs);
+    const auto overdueMs = ageMs + cost.remainingMs - cost.expiryMs;
     const auto starvation = std::min(1.0, overdueMs / std::max(1.0, starvationRatio * cost.expiryMs));
     loss = std::max(loss, lateValueRatio * starvation * cost.value);
     return loss / cost.remainingWork;
