Say behind what a job waits, in the log and in metrics

Cause: between job_accepted and the first run_assigned nothing told why a job waits. Change: a pass lists the steps it had no room for; job_waits names how many steps come first and the first of them, at doubled ages; a gauge counts waiting steps by whether they can still end in time.

--- a/chervilport/batch/pass_order.cpp
+++ b/chervilport/batch/pass_order.cpp
@@ -13,6 +13,13 @@
 
 } // namespace
 
+objective_status statusOf(const ordered_step& step)
+{
+    if (step.isOnTime)
+        return objective_status::OnTime;
+    return step.isWorthless ? objective_status::Expired : objective_status::Late;
+}
+
 double meanWaitMs(const run_estimates& estimates, const std::vector<ready_step>& steps)
 {
     if (steps.empty())
--- a/chervilport/batch/pass_order.h
+++ b/chervilport/batch/pass_order.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/delay_cost.h"
+#include "chervilport/batch/latency_objective.h"
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_estimates.h"
@@ -28,6 +29,9 @@
     double urgency = 0;
 };
 
+/// Returns whether the job of a step can still end in time.
+objective_status statusOf(const ordered_step&);
+
 /// Returns the mean wait that steps are compared with: the time in which room becomes free, in milliseconds.
 double meanWaitMs(const run_estimates&, const std::vector<ready_step>&);
 
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -33,6 +33,12 @@
     /// milliseconds: the start of a short urgent job may wait for that long without missing its objective.
     constexpr std::int64_t maxFillerStopMs = 500;
 
+    /// Steps of one service that wait for room.
+    struct waiting_queue {
+        std::size_t count = 0;
+        std::string first;
+    };
+
     /// Inputs and progress of a pass.
     struct pass {
         const batch_state& state;
@@ -45,6 +51,8 @@
         std::set<std::string> idleServices;
         /// What the loss of a preempted run is computed from.
         preemption_prices prices;
+        /// Steps that wait, by service.
+        std::map<std::string, waiting_queue> waiting;
         scheduling_result result;
     };
 
@@ -233,6 +241,18 @@
         }
     }
 
+    /// Records that the remaining tasks of the step wait.
+    void recordWait(pass& current, const ordered_step& ordered, const std::string& service, std::size_t tasks)
+    {
+        auto& queue = current.waiting[service];
+        const auto& ready = ordered.step;
+        const auto& job = ready.job->request.id;
+        current.result.waiting.push_back({ job, ready.occurrence, ready.step, tasks, current.nowMs - ready.jobDueMs,
+            statusOf(ordered), queue.count, queue.first });
+        if (queue.count++ == 0)
+            queue.first = job;
+    }
+
     bool anyFits(const pass& current, const ready_step& ready, const std::string& service)
     {
         const auto demand = chargedDemand(specOf(ready));
@@ -270,6 +290,7 @@
         if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
+            recordWait(current, ordered, service, each.tasks.size());
             continue;
         }
         const bool allowOffRack
@@ -282,6 +303,7 @@
                 releaseReservations(current, each.job->request.id);
             continue;
         }
+        recordWait(current, ordered, service, each.tasks.size() - placed.size());
         if (!isGuaranteed) {
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -5,6 +5,7 @@
 #include "chervilport/batch/run_estimates.h"
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/batch/urgent_reservation.h"
+#include "chervilport/batch/waiting_step.h"
 #include "chervilport/batch/worker_speeds.h"
 
 #include <cstdint>
@@ -58,6 +59,8 @@
     std::vector<run_assigned> assigned;
     /// Runs to stop so that guaranteed jobs can be placed.
     std::vector<preempted_run> preempted;
+    /// Steps that were not placed, or not with all their tasks, in the order of the pass.
+    std::vector<waiting_step> waiting;
 };
 
 /// Bounds of a site for the placement of tasks.
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -452,6 +452,7 @@
     auto plan = batch::planPass(m_state, conditions(), m_schedulerState, placementBounds(m_bounds), wallMs());
     m_lastPassTime = monotonicNow() - begin;
     m_metrics->observe("chervilport_pass_seconds", {}, std::chrono::duration<double>(m_lastPassTime).count());
+    logWaits(m_waits, plan.waiting, *m_metrics);
     // Stop the preempted runs. Their capacity is free once their ends are committed.
     for (const auto& [run, beneficiary] : plan.preempted) {
         const auto* const task = batch::findTask(m_state, run.task);
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -7,6 +7,7 @@
 #include "chervilport/control/command_queue.h"
 #include "chervilport/control/gang_start_tracker.h"
 #include "chervilport/control/node_settings.h"
+#include "chervilport/control/wait_log.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/control/worker_health.h"
 #include "chervilport/control/worker_session.h"
@@ -121,6 +122,7 @@
     std::map<batch::worker_number, worker_health> m_health;
     batch::scheduler_state m_schedulerState;
     gang_start_tracker m_gangs;
+    wait_log m_waits;
     std::uint64_t m_term = 0;
     /// Last epoch of a fencing token in this term.
     std::uint64_t m_lastEpoch = 0;
