job explain says behind what a job waits

Cause: job_waits stood in the timeline only. Change: the conclusion names the steps ahead and the first job of them.

--- a/chervilport/explain/job_facts.cpp
+++ b/chervilport/explain/job_facts.cpp
@@ -68,16 +68,31 @@
             facts.isAccepted = facts.isAccepted || valueOf(line, "outcome") == "committed";
         else if (line.event == "job_cancelled")
             facts.isCancelled = true;
-        else if (line.event == "job_ended") {
+        else if (line.event == "job_waits") {
+            facts.stepsAhead = valueOf(line, "ahead");
+            facts.waitedBehind = valueOf(line, "behind");
+            facts.waitedMs = valueOf(line, "age_ms");
+        } else if (line.event == "job_ended") {
             facts.phase = valueOf(line, "phase");
             facts.ageMs = valueOf(line, "age_ms");
         }
     }
 
+    /// Returns what the job waited for as the end of a sentence; empty when no line tells of a wait.
+    std::string describeWait(const job_facts& facts)
+    {
+        if (facts.waitedMs.empty())
+            return {};
+        auto text = "; at " + facts.waitedMs + " ms it waited for room";
+        if (!facts.waitedBehind.empty())
+            text += " behind " + facts.stepsAhead + " steps, first of " + facts.waitedBehind;
+        return text;
+    }
+
     /// Returns the causes of delays as the end of a sentence; empty when there are none.
     std::string describeDelays(const job_facts& facts)
     {
-        std::string text;
+        auto text = describeWait(facts);
         if (facts.preemptedRuns > 0)
             text += "; " + std::to_string(facts.preemptedRuns) + " runs were preempted for " + join(facts.preemptedFor);
         if (!facts.lostOn.empty())
@@ -117,7 +132,8 @@
     if (facts.isCancelled)
         return "cancelled" + describeDelays(facts);
     if (facts.isAccepted && facts.firstAssignedAt.empty())
-        return "accepted at " + facts.submittedAt + "; no run was assigned: it waits for capacity";
+        return "accepted at " + facts.submittedAt + "; no run was assigned: it waits for capacity"
+            + describeWait(facts);
     if (facts.isAccepted)
         return "accepted and not ended; " + std::to_string(facts.openRuns.size()) + " runs without a logged end"
             + describeDelays(facts);
--- a/chervilport/explain/job_facts.h
+++ b/chervilport/explain/job_facts.h
@@ -52,6 +52,12 @@
     std::set<std::string> preemptedFor;
     /// Number of preempted runs.
     std::size_t preemptedRuns = 0;
+    /// Number of steps that came first when the job's wait was logged last; empty when no line has it.
+    std::string stepsAhead;
+    /// First job behind which it waited then; empty for none.
+    std::string waitedBehind;
+    /// Age of the job at that time in milliseconds, as text.
+    std::string waitedMs;
     /// Number of lines that the rate limit of an event suppressed.
     std::size_t suppressedLines = 0;
 };
--- a/tests/explain/job_timeline_test.cpp
+++ b/tests/explain/job_timeline_test.cpp
@@ -153,6 +153,21 @@
     assertConclusion(timeline, "failed after 1900 ms; workers crashed under 2 runs");
 }
 
+// Guards against a late job of which nothing tells behind what it waited.
+Test(jobTimeline, waitNamesTheJobAhead)
+{
+    const auto timeline = buildTimeline(
+        linesOf({ "core-1 2026-12-04T09:00:00.100 INFO event=job_submitted job=ea59a8795f5cb20e queue=q",
+            "core-1 2026-12-04T09:00:00.110 INFO event=job_accepted job=ea59a8795f5cb20e "
+            "outcome=committed",
+            "core-1 2026-12-04T09:00:01.110 INFO event=job_waits job=ea59a8795f5cb20e step=0 tasks=4 "
+            "age_ms=1000 status=in_time ahead=3 behind=68acc010f2b7f647" }),
+        job);
+    assertConclusion(timeline,
+        "accepted at 2026-12-04T09:00:00.100; no run was assigned: it waits for capacity; at 1000 ms it waited for "
+        "room behind 3 steps, first of 68acc010f2b7f647");
+}
+
 // Guards against one entry per run when a job with many tasks starts.
 Test(jobTimeline, equalLinesAreOneEntry)
 {
