--- a/chervilport/batch/delay_cost.cpp
+++ b/chervilport/batch/delay_cost.cpp
@@ -15,6 +15,8 @@
     constexpr double priorityValueRatio = 2.0;
     /// Priority from which on values no longer fall, so that they stay comparable.
     constexpr std::int64_t lowestWeighedPriority = 8;
+    /// Exponent of the work of a job in its value; 1 would ignore that small jobs serve more callers for the same room.
+    constexpr double workExponent = 0.9;
     /// Ratio of the expiry to the objective.
     constexpr double expiryFactor = 3.0;
     /// Part of its value that a result has between the objective and the expiry.
@@ -74,8 +76,8 @@
         cost.expiryMs = expiryFactor * cost.objectiveMs;
         cost.remainingMs = remainingMs;
         cost.remainingWork = remainingWork(estimates, job, occurrence);
-        // A job counts by itself and by its work: many depend on a large one. The square root lies between the two.
-        cost.value = priorityValue(job.priority) * std::sqrt(remainingWork(estimates, job, nullptr));
+        // Many depend on a large job, so value grows with the work, nearly in proportion: large gangs must not starve.
+        cost.value = priorityValue(job.priority) * std::pow(remainingWork(estimates, job, nullptr), workExponent);
         return cost;
     }
 
