Soak: let the members of a gang end as done together

The fleet now ends all members of a gang that has worked long enough, after leases that are overdue have expired and before other ends of the same tick. No check was changed.

--- a/tests/soak/executor_fleet.cpp
+++ b/tests/soak/executor_fleet.cpp
@@ -53,6 +53,8 @@
 void executor_fleet::tick()
 {
     const auto now = std::chrono::steady_clock::now();
+    for (const auto& each : m_members)
+        each.executor->expireOverdueLease();
     updateGangs(now);
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         auto& each = m_members[i];
@@ -73,7 +75,8 @@
         for (const auto& [task, run] : each.executor->runs())
             ++runningMembers[{ task.job, task.occurrence, task.step, run.run }];
     }
-    // Let complete gangs work; end the runs of gangs that lost a member or did not complete in time.
+    // Let complete gangs work until all their members end together as done; end the runs of gangs that lost a member or
+    // did not complete in time.
     for (const auto& each : m_members) {
         const auto runs = each.executor->runs();
         for (const auto& [task, run] : runs) {
@@ -83,6 +86,8 @@
                 || runningMembers[{ task.job, task.occurrence, task.step, run.run }] >= step->count;
             if (isComplete && !state->workingSince)
                 state->workingSince = now;
+            else if (isComplete && step != nullptr && step->isGang && now >= *state->workingSince + step->work)
+                each.executor->endRun(task, "done");
             else if (!isComplete && state->workingSince)
                 each.executor->endRun(task, "broken");
             else if (!isComplete && now > state->startedAt + m_bounds.gangStartTimeout)
--- a/tests/soak/fake_executor.cpp
+++ b/tests/soak/fake_executor.cpp
@@ -268,8 +268,10 @@
     m_checker.recordEnd(task, kind);
 }
 
-void fake_executor::expireLease()
+void fake_executor::expireOverdueLease()
 {
+    if (faults.down > 0 || m_runs.empty() || clockMs() <= m_leaseUntilMs)
+        return;
     for (auto& end : m_ends)
         end.hasLeaseExpired = true;
     while (!m_runs.empty()) {
@@ -283,8 +285,6 @@
 {
     if (faults.down > 0)
         return;
-    if (!m_runs.empty() && clockMs() > m_leaseUntilMs)
-        expireLease();
     const auto runs = m_runs;
     for (const auto& [task, run] : runs) {
         const auto* const step = m_checker.findStep(task);
@@ -293,7 +293,7 @@
             endRun(task, "stopped");
         else if (faults.failsRuns > 0 && run.workingSince && now >= *run.workingSince + failDelay)
             endRun(task, "failed");
-        else if (run.workingSince && now >= *run.workingSince + work)
+        else if (run.workingSince && now >= *run.workingSince + work && (step == nullptr || !step->isGang))
             endRun(task, "done");
     }
     respondToPolls(!m_ends.empty());
--- a/tests/soak/fake_executor.h
+++ b/tests/soak/fake_executor.h
@@ -48,7 +48,11 @@
     fake_executor(asio::io_context&, invariant_checker&, std::string baseId, std::uint64_t seed, executor_bounds);
     ~fake_executor();
 
-    /// Applies lease expiry, stops and ends that are due at the given time, and responds to polls.
+    /// Ends all runs as lapsed once the lease has expired.
+    void expireOverdueLease();
+
+    /// Applies stops and ends that are due at the given time, and responds to polls. The members of a gang end as done
+    /// together, so the owner ends those.
     void tick(std::chrono::steady_clock::time_point now);
 
     /// Crashes and begins a new incarnation, under the same id or a new one.
@@ -117,7 +121,6 @@
     nlohmann::json pollBody() const;
     void respondToPolls(bool all);
     void checkCapacity(const task_name&);
-    void expireLease();
 
     asio::io_context& m_context;
     invariant_checker& m_checker;
