Count jobs whose runs never started as pending

A job whose only run ended as not started, because the worker never confirmed it, was not counted as pending while no worker had capacity for another run: how a run had ended was not recorded. The state now records the active jobs of which all ended runs were not started.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -1,5 +1,6 @@
 #include "chervilport/batch/batch_apply.h"
 
+#include "chervilport/batch/pending_jobs.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/batch/worker_admission.h"
 
@@ -35,6 +36,7 @@
         job.phase = phase;
         job.endedMs = state.timeMs;
         removeCrashes(state.crashes, job.request.id);
+        state.unstartedJobs.erase(job.request.id);
         dropProgressIfIdle(job);
     }
 
@@ -157,6 +159,8 @@
         const auto& spec = job.request.steps[command.run.task.step];
         auto& step = *findStep(state, command.run.task);
         auto& task = step.tasks[command.run.task.index];
+        if (job.phase == job_phase::Active)
+            recordUnstarted(state, job, command.kind);
         releaseRun(state, command.run.task);
 
         // Update the task, or all tasks of a gang.
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -199,9 +199,11 @@
 template <typename Archive> void visitFields(Archive& archive, batch_state& value)
 {
     visitEach(archive, value.timeMs, value.config, value.workers, value.nextWorker, value.jobs);
-    // Snapshots of earlier versions end here.
+    // Snapshots of earlier versions end here or before the next condition.
     if (archive.hasMore())
         visitEach(archive, value.crashes, value.evacuatedDomains);
+    if (archive.hasMore())
+        visitEach(archive, value.unstartedJobs);
 }
 
 namespace {
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -31,6 +31,8 @@
     crash_history crashes;
     /// Failure domains whose workers get no new runs, with the time since when, Unix milliseconds.
     std::map<std::string, std::int64_t> evacuatedDomains;
+    /// Active jobs of which runs have ended, all of them as `NotStarted`, with the number of these runs.
+    std::map<std::string, std::int64_t> unstartedJobs;
 };
 
 /// Returns the job, or null.
--- a/chervilport/batch/pending_jobs.cpp
+++ b/chervilport/batch/pending_jobs.cpp
@@ -6,25 +6,14 @@
 
 namespace {
 
-    /// Returns whether a task has begun. Only its first run can show that it has not: how an earlier run ended is not
-    /// recorded.
-    bool hasBegun(const task_ref& ref, const task_record& task, const run_confirmation& isConfirmed)
+    /// Calls the function for each task of a job, and returns whether it returned true for one of them.
+    template <typename Predicate> bool anyTask(const job_record& job, const Predicate& predicate)
     {
-        const bool isFirstRun = task.lastRun == 1 && task.worker != noWorker && !task.done;
-        if (!isFirstRun)
-            return task.lastRun > 0;
-        return isConfirmed(task.worker, { ref, task.lastRun });
-    }
-
-    bool hasBegun(const job_record& job, const run_confirmation& isConfirmed)
-    {
-        if (!job.hasStarted || job.activeRuns == 0)
-            return job.hasStarted;
         for (const auto& [number, occurrence] : job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& tasks = occurrence.steps[step].tasks;
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                    if (hasBegun({ job.request.id, number, step, i }, tasks[i], isConfirmed))
+                    if (predicate(task_ref { job.request.id, number, step, i }, tasks[i]))
                         return true;
                 }
             }
@@ -32,14 +21,42 @@
         return false;
     }
 
+    /// Returns whether a run of the job has ended.
+    bool hasEndedRuns(const job_record& job)
+    {
+        return anyTask(job, [](const task_ref&, const task_record& task) {
+            return task.lastRun > 1 || task.done || (task.lastRun == 1 && task.worker == noWorker);
+        });
+    }
+
+    bool hasBegun(const batch_state& state, const job_record& job, const run_confirmation& isConfirmed)
+    {
+        if (!job.hasStarted)
+            return false;
+        // How an earlier run ended is recorded only if no run of the job has started.
+        if (hasEndedRuns(job) && !state.unstartedJobs.contains(job.request.id))
+            return true;
+        return anyTask(job, [&](const task_ref& ref, const task_record& task) {
+            return task.worker != noWorker && isConfirmed(task.worker, { ref, task.lastRun });
+        });
+    }
+
 } // namespace
 
+void recordUnstarted(batch_state& state, const job_record& job, run_end_kind kind)
+{
+    if (kind != run_end_kind::NotStarted)
+        state.unstartedJobs.erase(job.request.id);
+    else if (state.unstartedJobs.contains(job.request.id) || !hasEndedRuns(job))
+        ++state.unstartedJobs[job.request.id];
+}
+
 std::size_t countPendingJobs(const batch_state& state, std::string_view queue, const run_confirmation& isConfirmed)
 {
     return static_cast<std::size_t>(std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
         const auto& job = entry.second;
         return job.phase == job_phase::Active && job.request.repeatCount == 0 && job.queue == queue
-            && !hasBegun(job, isConfirmed);
+            && !hasBegun(state, job, isConfirmed);
     }));
 }
 
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -138,18 +138,20 @@
 }
 
 // Guards against a snapshot of an earlier version that can no longer be read.
-Test(crashHistory, snapshotWithoutCrashesIsRead)
+Test(crashHistory, snapshotsOfEarlierVersionsAreRead)
 {
     fake_site site;
     site.addWorkers(1);
     site.submit(normalQueue, { stepOf(1, 1) });
     const auto bytes = encodeState(site.state());
-    // Remove the sizes of the three empty maps at the end, one CBOR byte each, from the array and from its length. An
-    // earlier version wrote none of them.
+    // Remove the sizes of the last of the four empty maps at the end, one CBOR byte each, from the array and from its
+    // length. Earlier versions wrote none of them or the first three.
     constexpr unsigned char arrayWithOneByteLength = 0x98;
-    auto earlier = bytes.substr(0, bytes.size() - 3);
-    cr_assert_eq(static_cast<unsigned char>(earlier[0]), arrayWithOneByteLength);
-    earlier[1] = static_cast<char>(earlier[1] - 3);
-    const auto restored = decodeState(earlier);
-    cr_assert(encodeState(restored) == bytes);
+    for (const int missing : { 1, 4 }) {
+        auto earlier = bytes.substr(0, bytes.size() - static_cast<std::size_t>(missing));
+        cr_assert_eq(static_cast<unsigned char>(earlier[0]), arrayWithOneByteLength);
+        earlier[1] = static_cast<char>(earlier[1] - missing);
+        const auto restored = decodeState(earlier);
+        cr_assert(encodeState(restored) == bytes);
+    }
 }
