Drop evacuation orders whose caller is gone when they are read

A control instance that was suspended read an old POST or DELETE of /v1/evacuations/DOMAIN from its socket when it woke, relayed it, and the order took effect again: it has no version. The deadline of a call starts when it is read, so it does not bound the time in the socket.

A listener can now name requests that need their caller. Such a request is refused when the caller has closed the connection or its sending side by the time it is read.

httpListener/requestOfACallerThatIsGoneIsDroppedWhereItNeedsOne fails without the check. controlCalls/evacuationOrdersAreRecognized is new.

--- a/chervilport/http/http_listener.cpp
+++ b/chervilport/http/http_listener.cpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <restinio/all.hpp>
+#include <sys/socket.h>
 #include <utility>
 
 namespace chervilport {
@@ -37,6 +38,13 @@
         return request;
     }
 
+    /// Returns whether the peer has closed the connection or its sending side.
+    bool isClosedByPeer(tracked_socket& socket)
+    {
+        char next = 0;
+        return ::recv(socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
 } // namespace
 
 class http_listener::implementation : public std::enable_shared_from_this<http_listener::implementation> {
@@ -129,7 +137,10 @@
     restinio::request_handling_status_t handle(const restinio::request_handle_t& request)
     {
         std::uint64_t serial = 0;
+        auto converted = toRequest(*request);
         if (auto* const socket = m_registry.find(m_port, request->remote_endpoint())) {
+            if (m_settings.needsCaller && m_settings.needsCaller(converted) && isClosedByPeer(*socket))
+                return restinio::request_rejected();
             socket->beginRequest();
             serial = socket->serial();
         }
@@ -141,7 +152,7 @@
             responder(makeErrorResponse(
                 error_kind::TooLarge, "the body exceeds " + std::to_string(m_settings.maxBodyBytes) + " bytes"));
         else
-            m_handler(toRequest(*request), std::move(responder));
+            m_handler(std::move(converted), std::move(responder));
         return restinio::request_accepted();
     }
 
--- a/chervilport/http/http_listener.h
+++ b/chervilport/http/http_listener.h
@@ -43,6 +43,9 @@
     /// Maximum time for the handler to respond. After it the connection is closed without a response, so it must exceed
     /// every deadline.
     std::chrono::milliseconds handleTimeout { 3'600'000 };
+    /// Returns whether a request is dropped when its caller has already closed the connection or its sending side; null
+    /// for none. A process that was suspended reads requests that their callers gave up long ago.
+    std::function<bool(const http_request&)> needsCaller;
 };
 
 /// An HTTP/1.1 listener on a single-threaded io_context. All functions are called on that thread.
--- a/tests/http/http_listener_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -23,6 +23,8 @@
 
     void write(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
 
+    void close() { m_socket.close(); }
+
     // Runs the io_context until the text is received or the connection ends.
     bool waitFor(const std::string& text)
     {
@@ -222,3 +224,30 @@
     context.poll();
     cr_assert(responders.front().isAnswered());
 }
+
+// Guards against an order without a version that takes effect after its caller gave up: a process that was suspended
+// reads it from a connection that is closed by then.
+Test(httpListener, requestOfACallerThatIsGoneIsDroppedWhereItNeedsOne)
+{
+    http_listener_settings settings;
+    settings.needsCaller = [](const http_request& request) { return request.target == "/order"; };
+    listener_fixture fixture(settings);
+    const auto port = fixture.listener.port();
+    const auto requestFor = [](const std::string& target) {
+        return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    };
+    // The listener runs only after these callers have left.
+    raw_client gone(fixture.context, port);
+    gone.write(requestFor("/order"));
+    gone.close();
+    raw_client alsoGone(fixture.context, port);
+    alsoGone.write(requestFor("/other"));
+    alsoGone.close();
+    raw_client waiting(fixture.context, port);
+    waiting.write(requestFor("/order"));
+    fixture.waitForRequests(2);
+    while (fixture.context.poll() > 0) { }
+    cr_assert_eq(fixture.requests.size(), 2);
+    cr_assert_eq(fixture.requests.front().target, "/other");
+    cr_assert_eq(fixture.requests.back().target, "/order");
+}
--- a/tests/platform/control_calls_test.cpp
+++ b/tests/platform/control_calls_test.cpp
@@ -59,3 +59,13 @@
     cr_assert_eq(fixture.statusOf("DELETE", "/v1/evacuations/west"), 200);
     cr_assert_eq(fixture.statusOf("POST", "/v1/evacuations/"), 404);
 }
+
+// Guards against an evacuation order that is executed after its caller gave up because it is not recognized, and
+// against other calls that are dropped like one.
+Test(controlCalls, evacuationOrdersAreRecognized)
+{
+    cr_assert(platform::isEvacuationOrder({ "POST", "/v1/evacuations/west", {}, {} }));
+    cr_assert(platform::isEvacuationOrder({ "DELETE", "/v1/evacuations/west", {}, {} }));
+    cr_assert_not(platform::isEvacuationOrder({ "PUT", "/v1/instances/i-1", {}, {} }));
+    cr_assert_not(platform::isEvacuationOrder({ "PUT", "/v1/config", {}, {} }));
+}
