Record the speeds of workers in the log, and seed the next leader with them

Cause: the learnt speeds were the memory of the leader. Change: a settled speed (4 samples) that differs from the record by half a speed class is proposed as `worker_speed_observed`, the last alternative of the commands: at most 32 a second for the pool, the greatest differences first. A new leader seeds its estimates from the records with the weight of two samples. Typical workers are recorded too: the estimates are relative to the median of the known workers.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -212,7 +212,10 @@
         // Update the worker with this id, or add a new one.
         const auto known = state.numbersById.find(command.report.id);
         if (known != state.numbersById.end()) {
-            state.workers.at(known->second).report = command.report;
+            auto& worker = state.workers.at(known->second);
+            if (worker.report.incarnation != command.report.incarnation)
+                worker.speed = {};
+            worker.report = command.report;
             return;
         }
         worker_record worker;
@@ -272,6 +275,13 @@
         }
     }
 
+    void apply(batch_state& state, const worker_speed_observed& command)
+    {
+        const auto found = state.workers.find(command.worker);
+        if (found != state.workers.end() && found->second.report.incarnation == command.incarnation)
+            found->second.speed = { command.slownessPercent, command.samples };
+    }
+
     void apply(batch_state& state, const config_applied& command)
     {
         if (command.config.version > state.config.version)
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -140,6 +140,16 @@
     visitEach(archive, value.worker, value.incarnation);
 }
 
+template <typename Archive> void visitFields(Archive& archive, worker_speed_observed& value)
+{
+    visitEach(archive, value.worker, value.incarnation, value.slownessPercent, value.samples);
+}
+
+template <typename Archive> void visitFields(Archive& archive, recorded_speed& value)
+{
+    visitEach(archive, value.slownessPercent, value.samples);
+}
+
 template <typename Archive> void visitFields(Archive& archive, worker_crashed& value)
 {
     visitEach(archive, value.worker, value.runs, value.unconfirmedRuns);
@@ -196,12 +206,36 @@
     visitEach(archive, value.timeMs, value.commands);
 }
 
+namespace {
+
+    /// Visits the known speeds of the workers. They follow the fields of earlier versions of snapshots, so they are not
+    /// part of the fields of a worker.
+    template <typename Archive> void visitSpeeds(Archive& archive, std::map<worker_number, worker_record>& workers)
+    {
+        std::map<worker_number, recorded_speed> speeds;
+        for (const auto& [number, worker] : workers) {
+            if (worker.speed.samples > 0)
+                speeds.emplace_hint(speeds.end(), number, worker.speed);
+        }
+        visitEach(archive, speeds);
+        for (const auto& [number, speed] : speeds) {
+            const auto found = workers.find(number);
+            if (found != workers.end())
+                found->second.speed = speed;
+        }
+    }
+
+} // namespace
+
 template <typename Archive> void visitFields(Archive& archive, batch_state& value)
 {
     visitEach(archive, value.timeMs, value.config, value.workers, value.nextWorker, value.jobs);
-    // Snapshots of earlier versions end here.
+    // Snapshots of the first version end here.
     if (archive.hasMore())
         visitEach(archive, value.crashes, value.evacuatedDomains);
+    // Those of the next versions end here.
+    if (archive.hasMore())
+        visitSpeeds(archive, value.workers);
 }
 
 namespace {
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -99,9 +99,20 @@
     bool isEvacuated = false;
 };
 
+/// Records the speed of a worker, unless another incarnation has been recorded under its number.
+struct worker_speed_observed {
+    worker_number worker = noWorker;
+    /// Start time of the incarnation that was observed, Unix milliseconds.
+    std::int64_t incarnation = 0;
+    /// Run time relative to a typical worker, in percent.
+    std::int64_t slownessPercent = 100;
+    /// Number of samples.
+    std::uint32_t samples = 0;
+};
+
 /// A command that changes the state. The order of the alternatives is part of the format of the log.
 using batch_command = std::variant<job_submitted, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
-    config_applied, worker_crashed, evacuation_changed, incarnation_ended>;
+    config_applied, worker_crashed, evacuation_changed, incarnation_ended, worker_speed_observed>;
 
 /// Commands that are committed together.
 struct command_batch {
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -4,9 +4,11 @@
 #include "chervilport/batch/batch_codec.h"
 #include "chervilport/batch/pending_jobs.h"
 #include "chervilport/batch/ready_step.h"
+#include "chervilport/batch/recorded_speeds.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/batch/worker_admission.h"
 #include "chervilport/control/batch_log.h"
+#include "chervilport/control/controller_gauges.h"
 #include "chervilport/control/pass_pacing.h"
 #include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
@@ -80,6 +82,7 @@
     const auto batch = batch::decodeBatch(payload);
     if (m_leading) {
         recordRunTimes(batch);
+        batch::removeOutdatedSpeeds(m_schedulerState.speeds, m_state, batch);
         logEndedWorkers(m_state, batch, *m_metrics);
     }
     batch::applyBatch(m_state, batch);
@@ -130,32 +133,14 @@
 
 void batch_controller::recordGauges() const
 {
-    std::size_t activeJobs = 0;
-    std::size_t activeRuns = 0;
-    std::map<std::string, std::size_t> pending;
+    controller_figures figures { m_state, m_schedulerState.speeds };
+    figures.isLeader = m_leading;
+    figures.term = m_term;
     for (const auto& queue : m_state.config.queues)
-        pending[queue.name] = countPendingJobs(queue.name);
-    for (const auto& [id, job] : m_state.jobs) {
-        activeJobs += job.phase == batch::job_phase::Active ? 1 : 0;
-        activeRuns += job.activeRuns;
-    }
-    std::size_t usableWorkers = 0;
+        figures.pendingJobs[queue.name] = countPendingJobs(queue.name);
     for (const auto& [number, condition] : conditions())
-        usableWorkers += condition.isUsable ? 1 : 0;
-    m_metrics->set("chervilport_leader", {}, m_leading ? 1 : 0);
-    m_metrics->set("chervilport_term", {}, static_cast<double>(m_term));
-    m_metrics->set("chervilport_config_version", {}, static_cast<double>(m_state.config.version));
-    m_metrics->set("chervilport_jobs_active", {}, static_cast<double>(activeJobs));
-    m_metrics->set("chervilport_runs_active", {}, static_cast<double>(activeRuns));
-    m_metrics->set("chervilport_domains_evacuated", {}, static_cast<double>(m_state.evacuatedDomains.size()));
-    m_metrics->set("chervilport_workers", { { "state", "known" } }, static_cast<double>(m_state.workers.size()));
-    const auto speeds = batch::countBySpeed(m_schedulerState.speeds);
-    m_metrics->set("chervilport_workers_by_speed", { { "speed", "fast" } }, static_cast<double>(speeds.fast));
-    m_metrics->set("chervilport_workers_by_speed", { { "speed", "typical" } }, static_cast<double>(speeds.typical));
-    m_metrics->set("chervilport_workers_by_speed", { { "speed", "slow" } }, static_cast<double>(speeds.slow));
-    m_metrics->set("chervilport_workers", { { "state", "usable" } }, static_cast<double>(usableWorkers));
-    for (const auto& [queue, count] : pending)
-        m_metrics->set("chervilport_jobs_pending", { { "queue", queue } }, static_cast<double>(count));
+        figures.usableWorkers += condition.isUsable ? 1 : 0;
+    setGauges(figures, *m_metrics);
 }
 
 void batch_controller::recordRunTimes(const batch::command_batch& batch)
@@ -216,6 +201,8 @@
     m_leading = true;
     m_term = term;
     m_schedulerState = {};
+    batch::seedSpeeds(m_schedulerState.speeds, m_state);
+    m_speedRecorder = {};
     m_gangs = {};
     m_health.clear();
     m_lastEpoch = 0;
@@ -342,6 +329,10 @@
         session->tick(now);
     for (const auto& gang : takeIncomplete(m_gangs, now, m_bounds.gangStartTimeout * gangTimeoutPercent / 100))
         stopGang(gang, "incomplete");
+    if (m_link.mayExecute()) {
+        for (auto& observed : takeSpeedsToRecord(m_speedRecorder, m_schedulerState.speeds, m_state, now))
+            propose(observed, [](proposal_result) {});
+    }
     requestPass();
 }
 
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -7,6 +7,7 @@
 #include "chervilport/control/command_queue.h"
 #include "chervilport/control/gang_start_tracker.h"
 #include "chervilport/control/node_settings.h"
+#include "chervilport/control/speed_recorder.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/control/worker_health.h"
 #include "chervilport/control/worker_session.h"
@@ -120,6 +121,7 @@
     std::map<batch::worker_number, std::shared_ptr<worker_session>> m_sessions;
     std::map<batch::worker_number, worker_health> m_health;
     batch::scheduler_state m_schedulerState;
+    speed_recorder m_speedRecorder;
     gang_start_tracker m_gangs;
     std::uint64_t m_term = 0;
     /// Last epoch of a fencing token in this term.
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -144,12 +144,14 @@
     site.addWorkers(1);
     site.submit(normalQueue, { stepOf(1, 1) });
     const auto bytes = encodeState(site.state());
-    // Remove the sizes of the three empty maps at the end, one CBOR byte each, from the array and from its length. An
-    // earlier version wrote none of them.
+    // Remove the sizes of the empty maps at the end, one CBOR byte each, from the array and from its length. The first
+    // version wrote none of the four, and the next one wrote all but the last, the speeds of the workers.
     constexpr unsigned char arrayWithOneByteLength = 0x98;
-    auto earlier = bytes.substr(0, bytes.size() - 3);
-    cr_assert_eq(static_cast<unsigned char>(earlier[0]), arrayWithOneByteLength);
-    earlier[1] = static_cast<char>(earlier[1] - 3);
-    const auto restored = decodeState(earlier);
-    cr_assert(encodeState(restored) == bytes);
+    cr_assert_eq(static_cast<unsigned char>(bytes[0]), arrayWithOneByteLength);
+    for (const std::size_t missing : { 4, 1 }) {
+        auto earlier = bytes.substr(0, bytes.size() - missing);
+        earlier[1] = static_cast<char>(earlier[1] - static_cast<char>(missing));
+        const auto restored = decodeState(earlier);
+        cr_assert(encodeState(restored) == bytes);
+    }
 }
