Count the work that is lost by cause

Cause: work that was thrown away had to be traced by hand. Change: `chervilport_core_seconds_lost_total{cause,queue}`, and `cause=` in the `run_ended` lines of runs that end other than done. A stop carries its cause: preempted, cancelled, another member of the gang ended, incomplete gang; an expired lease is told from a run that is gone with its worker. Tests: lost_work_test.

--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -9,7 +9,9 @@
 #include "chervilport/batch/worker_admission.h"
 #include "chervilport/control/batch_log.h"
 #include "chervilport/control/controller_gauges.h"
+#include "chervilport/control/lost_work.h"
 #include "chervilport/control/pass_pacing.h"
+#include "chervilport/control/run_times.h"
 #include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
@@ -81,8 +83,10 @@
 {
     const auto batch = batch::decodeBatch(payload);
     if (m_leading) {
-        recordRunTimes(batch);
+        recordRunTimes(m_schedulerState.estimates, m_state, batch);
         batch::removeOutdatedSpeeds(m_schedulerState.speeds, m_state, batch);
+        countLostWork(
+            m_state, batch, [this](const batch::run_ended& ended) { return lossCauseOf(ended); }, *m_metrics);
         logEndedWorkers(m_state, batch, *m_metrics);
     }
     batch::applyBatch(m_state, batch);
@@ -143,17 +147,10 @@
     setGauges(figures, *m_metrics);
 }
 
-void batch_controller::recordRunTimes(const batch::command_batch& batch)
+loss_cause batch_controller::lossCauseOf(const batch::run_ended& ended) const
 {
-    for (const auto& command : batch.commands) {
-        const auto* const ended = std::get_if<batch::run_ended>(&command);
-        if (ended == nullptr || ended->kind != batch::run_end_kind::Done
-            || !batch::isActive(m_state, ended->run, ended->worker))
-            continue;
-        const auto& job = m_state.jobs.at(ended->run.task.job);
-        const auto startedMs = batch::findTask(m_state, ended->run.task)->startedMs;
-        batch::recordRunTime(m_schedulerState.estimates, job.queue, batch.timeMs - startedMs);
-    }
+    const auto session = m_sessions.find(ended.worker);
+    return session == m_sessions.end() ? causeOf(ended.kind) : session->second->lossCauseOf(ended.run, ended.kind);
 }
 
 std::string batch_controller::takeSnapshot() const { return batch::encodeState(m_state); }
@@ -328,7 +325,7 @@
     for (const auto& [number, session] : sessions)
         session->tick(now);
     for (const auto& gang : takeIncomplete(m_gangs, now, m_bounds.gangStartTimeout * gangTimeoutPercent / 100))
-        stopGang(gang, "incomplete");
+        stopGang(gang, loss_cause::GangIncomplete);
     if (m_link.mayExecute()) {
         for (auto& observed : takeSpeedsToRecord(m_speedRecorder, m_schedulerState.speeds, m_state, now))
             propose(observed, [](proposal_result) {});
@@ -347,7 +344,7 @@
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                     const auto session = m_sessions.find(tasks[i].worker);
                     if (session != m_sessions.end())
-                        session->second->stopRun({ { id, number, step, i }, tasks[i].lastRun });
+                        session->second->stopRun({ { id, number, step, i }, tasks[i].lastRun }, loss_cause::Cancelled);
                 }
             }
         }
@@ -370,7 +367,7 @@
     recordStart(m_gangs, run, complete, monotonicNow());
 }
 
-void batch_controller::stopGang(const gang_run& gang, const char* reason)
+void batch_controller::stopGang(const gang_run& gang, loss_cause cause)
 {
     const auto* const step = batch::findStep(m_state, gang.task);
     if (step == nullptr)
@@ -382,11 +379,13 @@
         const auto session = m_sessions.find(step->tasks[i].worker);
         if (session == m_sessions.end() || !batch::isActive(m_state, member, step->tasks[i].worker))
             continue;
-        session->second->stopRun(member);
+        session->second->stopRun(member, cause);
         stopped = true;
     }
+    const bool isIncomplete = cause == loss_cause::GangIncomplete;
     if (stopped)
-        logEvent("gang_stopped", { { "gang", describe(gang) }, { "reason", reason } });
+        logEvent(
+            "gang_stopped", { { "gang", describe(gang) }, { "reason", isIncomplete ? "incomplete" : "member ended" } });
 }
 
 void batch_controller::abortGangs(const batch::command_batch& batch)
@@ -400,7 +399,7 @@
             continue;
         // The other members would only wait for the ended one, so stop them too.
         removeGang(m_gangs, gangOf(ended->run));
-        stopGang(gangOf(ended->run), "member ended");
+        stopGang(gangOf(ended->run), loss_cause::GangMemberEnded);
     }
 }
 
@@ -453,7 +452,7 @@
         logEvent("run_preempted",
             { { "run", describe(run) }, { "worker", m_state.workers.at(task->worker).report.id },
                 { "for", beneficiary } });
-        session->second->stopRun(run);
+        session->second->stopRun(run, loss_cause::Preempted);
     }
     // Propose the assignments. The next pass waits until all of them are committed or lost.
     if (plan.assigned.empty())
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -97,14 +97,14 @@
     void recordDrains(const batch::command_batch&);
     void stopEndedJobs();
     void abortGangs(const batch::command_batch&);
-    void stopGang(const gang_run&, const char* reason);
+    void stopGang(const gang_run&, loss_cause);
+    loss_cause lossCauseOf(const batch::run_ended&) const;
     void removeEndedPaces(const batch::command_batch&);
     void recordProgress(batch::pace_sample);
     void recordStartedRun(const batch::run_ref&);
     void requestPass();
     void runPass();
     void observeStart(const batch::run_assigned&);
-    void recordRunTimes(const batch::command_batch&);
     void startAssigned(const batch::command_batch&);
     std::map<batch::worker_number, batch::worker_condition> conditions() const;
     session_host makeHost(batch::worker_number);
--- a/chervilport/control/batch_log.cpp
+++ b/chervilport/control/batch_log.cpp
@@ -4,6 +4,7 @@
 #include "chervilport/batch/batch_state.h"
 #include "chervilport/batch/run_accounting.h"
 #include "chervilport/batch/worker_admission.h"
+#include "chervilport/control/lost_work.h"
 #include "chervilport/logging/event_log.h"
 #include "chervilport/metrics/metric_registry.h"
 
@@ -29,8 +30,9 @@
             const auto ageMs = timeMs - batch::findTask(state, run.task)->startedMs;
             logEvent("run_ended",
                 { { "run", batch::describe(run) }, { "worker", report.id },
-                    { "how", batch::nameOf(batch::run_end_kind::Lost) }, { "reason", "worker ended" },
-                    { "age_ms", ageMs }, { "beside", worker.activeRuns - 1 } });
+                    { "how", batch::nameOf(batch::run_end_kind::Lost) }, { "cause", nameOf(loss_cause::WorkerEnded) },
+                    { "reason", "worker ended" }, { "age_ms", ageMs }, { "beside", worker.activeRuns - 1 } });
+            countLostWork(state, run, loss_cause::WorkerEnded, timeMs, metrics);
             metrics.increment(
                 "chervilport_runs_ended_total", { { "how", std::string(batch::nameOf(batch::run_end_kind::Lost)) } });
         }
--- a/chervilport/control/run_tracker.cpp
+++ b/chervilport/control/run_tracker.cpp
@@ -68,6 +68,14 @@
     requireNewStop(tracker);
 }
 
+loss_cause causeOf(const run_tracker& tracker, batch::run_end_kind kind)
+{
+    // A task can fail before a stop reaches it.
+    if (kind == batch::run_end_kind::Failed)
+        return loss_cause::TaskFailed;
+    return tracker.lossCause.value_or(causeOf(kind));
+}
+
 void requireNewStop(run_tracker& tracker)
 {
     tracker.stopRequested = true;
--- a/chervilport/control/run_tracker.h
+++ b/chervilport/control/run_tracker.h
@@ -2,6 +2,7 @@
 
 #include "chervilport/batch/batch_command.h"
 #include "chervilport/batch/task_ref.h"
+#include "chervilport/control/loss_cause.h"
 #include "chervilport/control/progress_observation.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/core/log_time.h"
@@ -46,6 +47,8 @@
     log_time confirmedAt;
     /// Whether the run is to be stopped.
     bool stopRequested = false;
+    /// Why it was stopped or given up, when this leader knows.
+    std::optional<loss_cause> lossCause;
     /// Number of stop requests that have completed, with or without a response.
     int stopAttempts = 0;
     /// Whether a stop request is in flight.
@@ -89,6 +92,9 @@
 /// Returns whether a run that a poll sent at this time does not list should be on the worker.
 bool isMissing(const run_tracker&, log_time sentAt);
 
+/// Returns why the work of a run is lost that ends in this way, which is not `Done`.
+loss_cause causeOf(const run_tracker&, batch::run_end_kind);
+
 /// Requires that a stop is confirmed from now on; earlier requests and confirmations do not count.
 void requireNewStop(run_tracker&);
 
--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -71,8 +71,9 @@
 
 void logRunEnded(const run_tracker& tracker, std::string_view worker, batch::run_end_kind kind)
 {
+    const auto cause = kind == batch::run_end_kind::Done ? std::string_view {} : nameOf(causeOf(tracker, kind));
     logEvent("run_ended",
-        { { "run", describe(tracker.run) }, { "worker", worker }, { "how", batch::nameOf(kind) },
+        { { "run", describe(tracker.run) }, { "worker", worker }, { "how", batch::nameOf(kind) }, { "cause", cause },
             { "saved", tracker.checkpoint } });
 }
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -96,15 +96,6 @@
     return worker != nullptr && worker->report.incarnation > m_incarnation;
 }
 
-void worker_session::stopRun(const batch::run_ref& run)
-{
-    const auto found = m_runs.find(run);
-    if (found == m_runs.end() || found->second.stopRequested)
-        return;
-    found->second.stopRequested = true;
-    sendStop(found->second);
-}
-
 bool worker_session::hasStarted(const batch::run_ref& run) const
 {
     const auto found = m_runs.find(run);
@@ -361,6 +352,7 @@
         if (tracker.endProposed)
             continue;
         addSuspect(m_expiredRuns, tracker);
+        tracker.lossCause = tracker.lossCause.value_or(loss_cause::LeaseExpired);
         proposeEnd(tracker, batch::run_end_kind::Lost);
     }
 }
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -31,7 +31,10 @@
     void startRun(const batch::run_ref&);
 
     /// Stops a run; the stop request is retried until the worker confirms it.
-    void stopRun(const batch::run_ref&);
+    void stopRun(const batch::run_ref&, loss_cause = loss_cause::Stopped);
+
+    /// Returns why the work of a run is lost that ends in this way, which is not `Done`.
+    loss_cause lossCauseOf(const batch::run_ref&, batch::run_end_kind) const;
 
     /// Returns whether the worker has confirmed the start of a run in this term.
     bool hasStarted(const batch::run_ref&) const;
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -18,6 +18,22 @@
 
 } // namespace
 
+void worker_session::stopRun(const batch::run_ref& run, loss_cause cause)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || found->second.stopRequested)
+        return;
+    found->second.stopRequested = true;
+    found->second.lossCause = cause;
+    sendStop(found->second);
+}
+
+loss_cause worker_session::lossCauseOf(const batch::run_ref& run, batch::run_end_kind kind) const
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? causeOf(kind) : causeOf(found->second, kind);
+}
+
 void worker_session::sendStart(run_tracker& tracker)
 {
     const auto* const job = batch::findJob(m_host.state(), tracker.run.task.job);
