Find a connected socket without a search through those being connected

Cause: before each first request on a connection, curl_sockets looked through all sockets that were not known to be connected, with a system call for each. A leader that opens sessions with 3,000 workers paid this 3,000 times. Change: a socket is indexed when it becomes writable. A listener closes connections after their response above a settable number, and counts them without a walk.

--- a/chervilport/http/curl_sockets.cpp
+++ b/chervilport/http/curl_sockets.cpp
@@ -91,6 +91,10 @@
         if ((watched->watchedEvents & event) == 0)
             return;
         const auto handle = watched->socket.native_handle();
+        // A socket becomes writable when it is connected. Indexing it now spares the search through all sockets that
+        // are being connected, which takes most of the time while thousands are.
+        if (!forReading)
+            indexIfEstablished(handle);
         m_ready(handle, error ? CURL_CSELECT_ERR : (forReading ? CURL_CSELECT_IN : CURL_CSELECT_OUT));
         // libcurl reports only changes, so the wait is repeated until it changes the watched events.
         if (watched->socket.is_open() && watched->watchedEvents != CURL_POLL_REMOVE
@@ -99,25 +103,36 @@
     });
 }
 
-void curl_sockets::indexEstablished()
+bool curl_sockets::tryIndex(int handle)
 {
-    std::erase_if(m_unindexed, [this](int handle) {
-        const auto& each = m_entries.at(handle);
-        asio::error_code error;
-        each->socket.remote_endpoint(error);
-        // The local port of an unconnected socket is not final.
-        if (error)
-            return false;
-        each->localPort = each->socket.local_endpoint(error).port();
-        m_socketsByLocalPort[each->localPort] = handle;
-        return true;
-    });
+    const auto& each = m_entries.at(handle);
+    asio::error_code error;
+    each->socket.remote_endpoint(error);
+    // The local port of an unconnected socket is not final.
+    if (error)
+        return false;
+    each->localPort = each->socket.local_endpoint(error).port();
+    m_socketsByLocalPort[each->localPort] = handle;
+    return true;
+}
+
+void curl_sockets::indexIfEstablished(int handle)
+{
+    const auto found = m_unindexed.find(handle);
+    if (found != m_unindexed.end() && tryIndex(handle))
+        m_unindexed.erase(found);
+}
+
+void curl_sockets::indexAllEstablished()
+{
+    ++m_fullSearches;
+    std::erase_if(m_unindexed, [this](int handle) { return tryIndex(handle); });
 }
 
 bool curl_sockets::hasUnreadInput(std::uint16_t localPort, const std::string& remoteAddress, std::uint16_t remotePort)
 {
     if (!m_socketsByLocalPort.contains(localPort))
-        indexEstablished();
+        indexAllEstablished();
     const auto indexed = m_socketsByLocalPort.find(localPort);
     // A connection that is not found cannot be checked, so it is reported as not usable.
     if (indexed == m_socketsByLocalPort.end())
--- a/chervilport/http/curl_sockets.h
+++ b/chervilport/http/curl_sockets.h
@@ -31,12 +31,17 @@
     /// response.
     bool hasUnreadInput(std::uint16_t localPort, const std::string& remoteAddress, std::uint16_t remotePort);
 
+    /// Returns how often all sockets that were not known to be connected were looked through.
+    std::uint64_t fullSearches() const { return m_fullSearches; }
+
 private:
     struct entry;
     using entry_ptr = std::shared_ptr<entry>;
 
     void waitFor(const entry_ptr&, bool forReading);
-    void indexEstablished();
+    bool tryIndex(int handle);
+    void indexIfEstablished(int handle);
+    void indexAllEstablished();
 
     asio::io_context& m_context;
     ready_callback m_ready;
@@ -44,6 +49,7 @@
     /// Sockets of established connections by local port, and the open sockets that are not yet in this index.
     std::unordered_map<std::uint16_t, int> m_socketsByLocalPort;
     std::set<int> m_unindexed;
+    std::uint64_t m_fullSearches = 0;
 };
 
 } // namespace chervilport
--- a/chervilport/http/http_listener.cpp
+++ b/chervilport/http/http_listener.cpp
@@ -148,7 +148,8 @@
     void respond(const restinio::request_handle_t& request, std::uint64_t serial, http_response response)
     {
         const bool isUpgrade = request->header().connection() == restinio::http_connection_header_t::upgrade;
-        const bool keepsAlive = request->header().should_keep_alive() && !m_isStopping && !isUpgrade;
+        const bool isCrowded = connections() > m_settings.maxKeptConnections;
+        const bool keepsAlive = request->header().should_keep_alive() && !m_isStopping && !isUpgrade && !isCrowded;
 
         // Write the response and record its end.
         auto builder = request->create_response(restinio::http_status_line_t {
--- a/chervilport/http/http_listener.h
+++ b/chervilport/http/http_listener.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,9 @@
     /// Maximum number of connections open at the same time; further connections wait in the listen backlog. Must be
     /// below the limit of open files, because RESTinio stops accepting after a failed accept.
     std::size_t maxConnections = 4096;
+    /// Number of open connections above which each is closed after its response, so that callers who wait in the
+    /// backlog are accepted.
+    std::size_t maxKeptConnections = std::numeric_limits<std::size_t>::max();
     /// Maximum number of requests of one connection that are read before the first of them is answered. With 1, a
     /// caller that shuts down its sending side after the request still receives the response.
     std::size_t maxPipelined = 1;
--- a/chervilport/http/tracked_socket.cpp
+++ b/chervilport/http/tracked_socket.cpp
@@ -17,20 +17,24 @@
     for (auto& [endpoints, socket] : m_sockets)
         socket->m_registry = nullptr;
     m_sockets.clear();
+    m_counts.clear();
 }
 
 void socket_registry::add(tracked_socket& socket)
 {
     socket.m_serial = ++m_lastSerial;
-    m_sockets[socket.m_key] = &socket;
+    const bool isNew = m_sockets.insert_or_assign(socket.m_key, &socket).second;
+    m_counts[socket.m_key.first] += isNew ? 1 : 0;
 }
 
 void socket_registry::remove(tracked_socket& socket)
 {
     const auto found = m_sockets.find(socket.m_key);
     // The endpoints of a closed connection may already be used by a newer connection.
-    if (found != m_sockets.end() && found->second == &socket)
-        m_sockets.erase(found);
+    if (found == m_sockets.end() || found->second != &socket)
+        return;
+    --m_counts[socket.m_key.first];
+    m_sockets.erase(found);
 }
 
 tracked_socket* socket_registry::find(std::uint16_t localPort, const asio::ip::tcp::endpoint& remote) const
@@ -41,9 +45,8 @@
 
 std::size_t socket_registry::count(std::uint16_t localPort) const
 {
-    std::size_t open = 0;
-    forEach(localPort, [&](const tracked_socket&) { ++open; });
-    return open;
+    const auto found = m_counts.find(localPort);
+    return found == m_counts.end() ? 0 : found->second;
 }
 
 void socket_registry::forEach(std::uint16_t localPort, const std::function<void(tracked_socket&)>& visit) const
--- a/chervilport/http/tracked_socket.h
+++ b/chervilport/http/tracked_socket.h
@@ -38,6 +38,8 @@
     using key = std::pair<std::uint16_t, asio::ip::tcp::endpoint>;
     std::uint64_t m_lastSerial = 0;
     std::map<key, tracked_socket*> m_sockets;
+    /// Number of sockets by port.
+    std::map<std::uint16_t, std::size_t> m_counts;
 };
 
 /// A TCP socket that records whether a request is being read from it or answered on it.
--- a/tests/http/http_listener_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -117,6 +117,28 @@
     cr_assert(caller.received().starts_with("HTTP/1.1 500 "));
 }
 
+// Guards against callers that wait in the backlog until they give up, because those who came before keep all
+// connections: 3,000 workers with a heartbeat every 1.5 s each held one.
+Test(httpListener, crowdedListenerClosesConnectionsAfterTheirResponse)
+{
+    http_listener_settings settings;
+    settings.maxKeptConnections = 1;
+    listener_fixture fixture(settings);
+    raw_client first(fixture.context, fixture.listener.port());
+    first.write(getRequest);
+    fixture.waitForRequests(1);
+    raw_client second(fixture.context, fixture.listener.port());
+    second.write(getRequest);
+    fixture.waitForRequests(2);
+    fixture.responders[1]({ 200, {}, "last" });
+    cr_assert(second.waitFor("last"));
+    second.waitForClose();
+    fixture.responders[0]({ 200, {}, "kept" });
+    cr_assert(first.waitFor("kept"));
+    first.write(getRequest);
+    fixture.waitForRequests(3);
+}
+
 // Guards against one caller that exhausts the memory.
 Test(httpListener, enforcesLimits)
 {
