Bound what a member takes up at once, and spread workers' reports over the members

A new leader opened all sessions in one turn of its loop, all workers were directed to the leader, members relayed reports without a bound, and a relay that had too many calls pending gave up its leader. Change: descriptors are divided by kind of connection (descriptor_budget); polls without a lease are pending 256 at a time and discarded when leadership ends (poll_limit); 64 reports in progress for each member, further ones wait until their deadline (report_admission); above 1,024 workers all members share the reports (report_target); an overloaded relay keeps its leader; no_leader events and gauges (election_watch).

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -2,8 +2,11 @@
 
 #include "chervilport/batch/worker_admission.h"
 #include "chervilport/consensus/membership_rules.h"
+#include "chervilport/control/descriptor_budget.h"
 #include "chervilport/control/node_address.h"
+#include "chervilport/control/report_target.h"
 #include "chervilport/core/chervilport_error.h"
+#include "chervilport/http/error_response.h"
 #include "chervilport/instance/instance_storage.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/instance/peer_network.h"
@@ -48,6 +51,21 @@
         return link;
     }
 
+    /// Returns the bounds of these connections, which follow the descriptors of the process.
+    transport_limits linkLimits(const node_settings& values)
+    {
+        const auto budget = divideDescriptors(values.maxDescriptors);
+        transport_limits limits;
+        limits.maxAcceptedConnections = budget.instances;
+        limits.maxUnidentifiedConnections = budget.unidentified;
+        return limits;
+    }
+
+    std::int64_t inMs(log_duration value)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    }
+
     bool bootstrapsGroup(const node_settings& values, const instance_storage& storage)
     {
         if (!values.mayBootstrap || storage.hasGroup(groupName) || values.seeds.empty())
@@ -107,16 +125,17 @@
     };
     // A new instance of the group has to connect before the members know it.
     hooks.hasReservedPlace = [](std::uint64_t instance) { return !isStateless(member_id { instance }); };
-    m_network
-        = std::make_shared<peer_network>(context, linkSettings(values), m_storage->incarnation(), std::move(hooks));
+    m_network = std::make_shared<peer_network>(
+        context, linkSettings(values), m_storage->incarnation(), std::move(hooks), linkLimits(values));
 
     batch_controller::group_link link;
     link.propose = [this](std::string payload, command_queue::callback done) {
         m_group->propose(std::move(payload), std::move(done));
     };
     link.mayExecute = [this] { return m_group->mayExecute(); };
+    m_polls = std::make_shared<poll_limit>(std::move(client), maxPendingPolls);
     m_jobs = std::make_shared<batch_controller>(
-        context, values.workers, std::move(client), std::move(link), std::move(metrics));
+        context, values.workers, m_polls->client(), std::move(link), std::move(metrics));
 
     m_group = makeGroup();
     m_relay = std::make_shared<leader_relay>(context, *m_network, config.self.id);
@@ -146,6 +165,7 @@
     // The failed write leaves the disk in an unknown state, so the member restarts from what can be read.
     m_group->stop();
     m_jobs->reset();
+    m_polls->discardWaiting();
     m_group = makeGroup();
     try {
         m_group->start();
@@ -158,7 +178,6 @@
 
 void control_node::start()
 {
-    m_leaderSeenAt = monotonicNow();
     m_network->start();
     setSeeds(m_settings.seeds);
     m_group->start();
@@ -205,6 +224,8 @@
     m_tick.stop();
     m_relay->stop();
     m_jobs->stop();
+    m_polls->discardWaiting();
+    removeExpiredReports(m_reports, log_time::max());
     m_group->stop();
     m_network->stop();
 }
@@ -219,7 +240,27 @@
     return addressOf(*status.leader).ip;
 }
 
-void control_node::recordGauges() const
+std::vector<member_id> control_node::reachableVoters() const
+{
+    std::vector<member_id> reachable;
+    for (const auto& voter : m_group->status().members.voters) {
+        if (!m_watch.disconnectedSince.contains(voter.id))
+            reachable.push_back(voter.id);
+    }
+    return reachable;
+}
+
+std::optional<std::string> control_node::reportIp(std::string_view worker) const
+{
+    if (m_jobs->state().workers.size() <= maxWorkersAtLeader)
+        return leaderIp();
+    const auto chosen = reportMemberOf(worker, reachableVoters());
+    if (!chosen || *chosen == m_group->self().id)
+        return std::nullopt;
+    return addressOf(*chosen).ip;
+}
+
+void control_node::recordGauges()
 {
     auto& metrics = m_jobs->metrics();
     const auto status = m_group->status();
@@ -233,6 +274,14 @@
     metrics.set(
         "chervilport_instance_connections", { { "place", "shared" } }, static_cast<double>(connections.openShared));
     metrics.set("chervilport_instance_connections_refused", {}, static_cast<double>(connections.refusals));
+    metrics.set(
+        "chervilport_reports", { { "state", "in_progress" } }, static_cast<double>(m_reports.inProgress.size()));
+    metrics.set("chervilport_reports", { { "state", "waiting" } }, static_cast<double>(m_reports.waiting.size()));
+    metrics.set("chervilport_reports_refused", {}, static_cast<double>(m_reports.refused));
+    metrics.set("chervilport_polls_waiting", {}, static_cast<double>(m_polls->waiting()));
+    metrics.set("chervilport_leader_absence_seconds", {},
+        std::chrono::duration<double>(monotonicNow() - m_elections.leaderSeenAt).count());
+    metrics.set("chervilport_loop_lag_seconds", {}, std::chrono::duration<double>(takeLongestLag(m_elections)).count());
     metrics.set("chervilport_storage_failed", {}, m_group->hasFailed() ? 1 : 0);
     m_jobs->recordGauges();
 }
@@ -252,10 +301,32 @@
 void control_node::dispatchReport(const batch::worker_report& report, std::shared_ptr<control_call> call,
     std::string name, const std::function<http_response()>& known)
 {
-    if (batch::changesWorker(m_jobs->state(), report))
-        dispatch(std::move(call), std::move(name));
-    else
+    if (!batch::changesWorker(m_jobs->state(), report)) {
         call->reply(known());
+        return;
+    }
+    const auto begin = [this, call, name = std::move(name)](std::uint64_t number) {
+        auto counted = std::make_shared<control_call>(*call);
+        counted->reply = [this, call, number](http_response response) {
+            call->reply(std::move(response));
+            endReport(m_reports, number);
+            // Not at once, because a call that is refused ends within `dispatch`.
+            asio::post(m_context, [this] { takeUpReports(); });
+        };
+        dispatch(std::move(counted), name);
+    };
+    addReport(m_reports, { call->deadline, begin, [call] {
+                              call->reply(
+                                  makeErrorResponse(error_kind::Unavailable, "no leader took up the report in time"));
+                          } });
+    takeUpReports();
+}
+
+void control_node::takeUpReports()
+{
+    // Without a leader, reports wait until their deadline, so that the workers do not come back at once.
+    if (!m_stopped && (mayServe() || m_relay->hasLeader(monotonicNow())))
+        startReports(m_reports);
 }
 
 void control_node::serveFromPeer(const std::shared_ptr<control_call>& call)
@@ -321,6 +392,8 @@
             { "commit", status.commitIndex } });
     recordMembership(m_watch, status.members, monotonicNow());
     m_jobs->handleStatus(status);
+    if (status.role != replica_role::Leader)
+        m_polls->discardWaiting();
     updatePeers();
 }
 
@@ -352,19 +425,36 @@
 {
     const auto now = monotonicNow();
     m_searchPause = searchPauseFor(m_network->counters().openShared);
+    recordTick(m_elections, now, tickInterval, m_group->status().leader.has_value());
+    logAbsence(now);
     restoreAfterFailure(now);
     joinIfNeeded(now);
+    removeExpiredReports(m_reports, now);
+    takeUpReports();
     if (mayServe())
         removeDisconnected(now);
 }
 
+void control_node::logAbsence(log_time now)
+{
+    if (!takeAbsenceReport(m_elections, now))
+        return;
+    const auto status = m_group->status();
+    const auto connections = m_network->counters();
+    logEvent("no_leader",
+        { { "absence_ms", inMs(now - m_elections.leaderSeenAt) }, { "role", static_cast<int>(status.role) },
+            { "term", status.term }, { "voters", status.members.voters.size() },
+            { "voters_reachable", reachableVoters().size() }, { "loop_lag_ms", inMs(m_elections.longestLag) },
+            { "instances", connections.openShared }, { "refused", connections.refusals },
+            { "reports_waiting", m_reports.waiting.size() } },
+        log_level::Warning);
+}
+
 void control_node::joinIfNeeded(log_time now)
 {
     const auto status = m_group->status();
     const bool listed = isListed(status.members, m_group->self());
-    if (status.leader)
-        m_leaderSeenAt = now;
-    if (listed && now - m_leaderSeenAt < leaderlessTimeout)
+    if (listed && now - m_elections.leaderSeenAt < leaderlessTimeout)
         return;
     if (now - m_lastJoin < joinInterval)
         return;
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "chervilport/control/batch_controller.h"
+#include "chervilport/control/election_watch.h"
 #include "chervilport/control/leader_relay.h"
 #include "chervilport/control/member_watch.h"
 #include "chervilport/control/node_settings.h"
+#include "chervilport/control/poll_limit.h"
+#include "chervilport/control/report_admission.h"
 #include "chervilport/control/worker_client.h"
 #include "chervilport/core/repeating_timer.h"
 #include "chervilport/instance/control_call.h"
@@ -52,18 +55,18 @@
     void dispatch(std::shared_ptr<control_call>, std::string name);
 
     /// Responds to a worker's report with `known` when the report would not change the local replicated state, which
-    /// spares a call to the leader; otherwise like `dispatch`.
+    /// spares a call to the leader; otherwise like `dispatch`, a bounded number at a time.
     void dispatchReport(const batch::worker_report&, std::shared_ptr<control_call>, std::string name,
         const std::function<http_response()>& known);
 
     /// Returns whether this instance is the leader, has applied all committed entries, and no other instance can lead.
     bool mayServe() const;
 
-    /// Returns the IPv4 address of the leader, if it is known and is another instance.
-    std::optional<std::string> leaderIp() const;
+    /// Returns the IPv4 address of the member that a worker should report to, if it is known and is another instance.
+    std::optional<std::string> reportIp(std::string_view worker) const;
 
     /// Sets the gauges of the replica and its jobs.
-    void recordGauges() const;
+    void recordGauges();
 
     /// Returns the controller of the jobs.
     batch_controller& jobs() { return *m_jobs; }
@@ -79,7 +82,11 @@
     cluster_status describe() const;
     void handleStatus(const replica_status&);
     void updatePeers();
+    std::optional<std::string> leaderIp() const;
+    std::vector<member_id> reachableVoters() const;
+    void takeUpReports();
     void tick();
+    void logAbsence(log_time now);
     void joinIfNeeded(log_time now);
     void removeDisconnected(log_time now);
 
@@ -91,6 +98,7 @@
     std::unique_ptr<instance_storage> m_storage;
     std::shared_ptr<peer_network> m_network;
     std::shared_ptr<replica_group> m_group;
+    std::shared_ptr<poll_limit> m_polls;
     std::shared_ptr<batch_controller> m_jobs;
     std::shared_ptr<leader_relay> m_relay;
     std::vector<peer_address> m_peers;
@@ -100,7 +108,8 @@
     log_duration m_searchPause = searchPauseFor(0);
     log_time m_nextRestore;
     log_time m_lastJoin;
-    log_time m_leaderSeenAt;
+    election_watch m_elections;
+    report_admission m_reports;
     bool m_stopped = false;
 };
 
--- a/chervilport/control/leader_relay.cpp
+++ b/chervilport/control/leader_relay.cpp
@@ -204,7 +204,11 @@
             { { "request", call->name }, { "leader", numberOf(target) }, { "attempt", call->attempts },
                 { "not_run", outcome.notRun ? "true" : "false" }, { "reason", outcome.reason } },
             log_level::Warning);
-        dropLeader(target, "no answer");
+        // Too many pending calls are no sign that the leader is lost, and a search would add to them.
+        if (outcome.overloaded)
+            call->notBefore = now + refusalBackoff;
+        else
+            dropLeader(target, "no answer");
         attemptCall(call);
         return;
     }
--- a/chervilport/instance/forward_outcome.h
+++ b/chervilport/instance/forward_outcome.h
@@ -15,6 +15,8 @@
     bool notRun = false;
     /// Without a response: the reason.
     std::string reason;
+    /// Without a response: whether too many calls were pending, which says nothing about the other instance.
+    bool overloaded = false;
 };
 
 } // namespace chervilport
--- a/chervilport/instance/peer_network.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -67,10 +67,11 @@
             http_response response { forwardResponse->status, {}, forwardResponse->body };
             for (const auto& header : forwardResponse->headers)
                 response.headers.push_back({ header.name, header.value });
-            return { std::move(response), false, {} };
+            return { std::move(response), false, {}, false };
         }
         const auto& failure = std::get<forward_failure>(result);
-        return { std::nullopt, failure.outcome == run_outcome::NotRun, failure.reason };
+        return { std::nullopt, failure.outcome == run_outcome::NotRun, failure.reason,
+            failure.kind == error_kind::Overloaded };
     }
 
 } // namespace
@@ -100,8 +101,8 @@
     std::uint64_t configurationVersion = 0;
 };
 
-peer_network::peer_network(
-    asio::io_context& context, const settings& values, std::uint64_t incarnation, peer_network_hooks hooks)
+peer_network::peer_network(asio::io_context& context, const settings& values, std::uint64_t incarnation,
+    peer_network_hooks hooks, transport_limits limits)
     : m_implementation(std::make_unique<implementation>(context, values, std::move(hooks)))
 {
     transport_identity identity { values.clusterId, readSecret(values.secretFile),
@@ -129,7 +130,7 @@
         callbacks.hasReservedPlace
             = [hasReservedPlace](member_id peer) { return hasReservedPlace(static_cast<std::uint64_t>(peer)); };
     callbacks.onLog = [](const std::string& line) { logInfo(part, line); };
-    self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks));
+    self.transport = std::make_unique<peer_transport>(std::move(identity), std::move(callbacks), limits);
 }
 
 peer_network::~peer_network() { stop(); }
--- a/chervilport/instance/peer_network.h
+++ b/chervilport/instance/peer_network.h
@@ -6,6 +6,7 @@
 #include "chervilport/transport/envelope.h"
 #include "chervilport/transport/peer_address.h"
 #include "chervilport/transport/transport_counters.h"
+#include "chervilport/transport/transport_limits.h"
 
 #include <cstdint>
 #include <functional>
@@ -42,7 +43,8 @@
 class peer_network : public std::enable_shared_from_this<peer_network> {
 public:
     /// Creates a network that is not started. Throws chervilport_error when the secret file cannot be read.
-    peer_network(asio::io_context&, const settings&, std::uint64_t incarnation, peer_network_hooks);
+    peer_network(
+        asio::io_context&, const settings&, std::uint64_t incarnation, peer_network_hooks, transport_limits = {});
     ~peer_network();
 
     /// Starts listening and connecting to the instances of the settings. Throws chervilport_error.
--- a/chervilport/transport/transport_limits.h
+++ b/chervilport/transport/transport_limits.h
@@ -19,8 +19,8 @@
     std::size_t maxPendingForwards = 256;
     /// Maximum bytes of these calls; a single larger call is accepted when no other call is pending.
     std::size_t maxPendingForwardBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Maximum number of accepted connections of instances without a reserved place that are open at the same time:
-    /// twice the 54 instances of the largest fleet fit.
+    /// Maximum number of accepted connections of instances without a reserved place that are open at the same time.
+    /// An instance of the control group sets it by its descriptors.
     std::size_t maxAcceptedConnections = 128;
     /// Maximum number of accepted connections of instances with a reserved place. Above the size of any group, so that
     /// it bounds only a fault of the instances themselves.
