--- a/tests/session/child_process.h
+++ b/tests/session/child_process.h
@@ -13,6 +13,9 @@
     std::vector<std::string> variables;
     /// Open descriptor for standard output and error; -1 to inherit those of the test.
     int output = -1;
+    /// Whether the process starts with SIGTERM blocked, so that a SIGTERM before its main function waits until the
+    /// program has installed its handler and unblocks it.
+    bool startsWithBlockedTermination = false;
 };
 
 /// A process started by a test. The destructor kills it.
