Weigh the urgency of steps by the recent use of their workspaces

Cause: between workspaces of the same priority room went by arrival, so a burst of one held the pool until it had run. Change: the leader records the decayed use of the pool by workspace, and multiplies the urgency of steps by a bounded factor from share and use. Shares follow guarantees. With one workspace that waits the factor is not applied. Figures, without network: 480 equal jobs of 2 s on 8 accelerators, beside a small workspace's job every 5 s. Before, the small jobs wait longer than one run and a pass (the test failed with the call taken out); after, at most that.

--- a/chervilport/batch/pass_order.cpp
+++ b/chervilport/batch/pass_order.cpp
@@ -51,6 +51,18 @@
     return { meanWaitMs, work > 0 ? value / work : 1 };
 }
 
+void weighByShares(std::vector<ordered_step>& steps, const workspace_use& use, const site_config& config)
+{
+    std::set<std::string, std::less<>> workspaces;
+    for (const auto& each : steps)
+        workspaces.insert(each.step.job->workspace);
+    if (workspaces.size() < 2)
+        return;
+    const auto factors = shareFactors(use, config, workspaces);
+    for (auto& each : steps)
+        each.urgency *= factors.at(each.step.job->workspace);
+}
+
 void sortForPass(std::vector<ordered_step>& steps)
 {
     const auto key = [](const ordered_step& each) {
--- a/chervilport/batch/pass_order.h
+++ b/chervilport/batch/pass_order.h
@@ -4,6 +4,7 @@
 #include "chervilport/batch/preemption.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_estimates.h"
+#include "chervilport/batch/workspace_share.h"
 
 #include <cstdint>
 #include <vector>
@@ -37,6 +38,9 @@
 /// Returns the prices of preemptions beside these waiting steps.
 preemption_prices pricesOf(const std::vector<ordered_step>&, double meanWaitMs);
 
+/// Multiplies the urgency of the steps by the factors of their workspaces; see `shareFactors`.
+void weighByShares(std::vector<ordered_step>&, const workspace_use&, const site_config&);
+
 /// Sorts steps into the order in which a pass places them: guaranteed ones, overdue services, then by urgency; equal
 /// ones by priority and due time.
 void sortForPass(std::vector<ordered_step>&);
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -123,6 +123,7 @@
             next.isOverdueService = waits && specOf(next.step).longRunning;
             ordered.push_back(std::move(next));
         }
+        weighByShares(ordered, current.schedulerState.use, current.state.config);
         sortForPass(ordered);
         current.prices = pricesOf(ordered, waitMs);
         return ordered;
@@ -248,6 +249,7 @@
 {
     // Prepare the slots and the reservations for urgent jobs.
     removeExpired(state, schedulerState, nowMs);
+    recordUse(schedulerState.use, state, nowMs);
     pass current { state, schedulerState, bounds, nowMs, guaranteedJobs(state, schedulerState.estimates, nowMs),
         makeSlots(state, conditions, schedulerState, nowMs) };
     reservePools(current);
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -6,6 +6,7 @@
 #include "chervilport/batch/task_ref.h"
 #include "chervilport/batch/urgent_reservation.h"
 #include "chervilport/batch/worker_speeds.h"
+#include "chervilport/batch/workspace_share.h"
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,8 @@
     worker_speeds speeds;
     /// Recent demand of urgent work by service.
     std::map<std::string, urgent_demand_window> urgentDemand;
+    /// Recent use by workspace.
+    workspace_use use;
 };
 
 /// A run that is preempted for a job.
--- a/tests/batch/fake_site.cpp
+++ b/tests/batch/fake_site.cpp
@@ -51,12 +51,20 @@
         conditions.try_emplace(number, worker_condition { true, 0 });
 }
 
-std::string fake_site::submit(const char* queue, std::vector<step_spec> steps)
+void fake_site::configureWorkspaces(std::vector<workspace_quota> workspaces)
+{
+    auto config = m_state.config;
+    ++config.version;
+    config.workspaces = std::move(workspaces);
+    apply(config_applied { std::move(config) });
+}
+
+std::string fake_site::submit(const char* queue, std::vector<step_spec> steps, const std::string& workspace)
 {
     job_request request;
     request.id = "job" + std::to_string(++m_jobs);
     request.steps = std::move(steps);
-    apply(job_submitted { request, queue, "main" });
+    apply(job_submitted { request, queue, workspace });
     return request.id;
 }
 
--- a/tests/batch/fake_site.h
+++ b/tests/batch/fake_site.h
@@ -29,7 +29,10 @@
     void addWorkers(int count, int perRack = 8);
 
     /// Submits a job with these steps and returns its id.
-    std::string submit(const char* queue, std::vector<batch::step_spec> steps);
+    std::string submit(const char* queue, std::vector<batch::step_spec> steps, const std::string& workspace = "main");
+
+    /// Sets the workspaces of the configuration.
+    void configureWorkspaces(std::vector<batch::workspace_quota>);
 
     /// Plans a pass, applies its assignments and returns its result.
     batch::scheduling_result pass();
