--- a/chervilport/batch/run_estimates.cpp
+++ b/chervilport/batch/run_estimates.cpp
@@ -37,11 +37,16 @@
     runTime.meanMs += (static_cast<double>(runMs) - runTime.meanMs) * weight;
 }
 
+bool isLearnt(const run_estimates& estimates, const std::string& queue)
+{
+    const auto found = estimates.byQueue.find(queue);
+    return found != estimates.byQueue.end() && found->second.samples >= minSamples;
+}
+
 double expectedRunMs(const run_estimates& estimates, const job_record& job, const step_spec& step)
 {
-    const auto found = estimates.byQueue.find(job.queue);
-    if (found != estimates.byQueue.end() && found->second.samples >= minSamples)
-        return found->second.meanMs;
+    if (isLearnt(estimates, job.queue))
+        return estimates.byQueue.at(job.queue).meanMs;
     return static_cast<double>(step.estimateMs);
 }
 
--- a/chervilport/batch/run_estimates.h
+++ b/chervilport/batch/run_estimates.h
@@ -24,6 +24,9 @@
 /// Adds the run time of a task that is done, in milliseconds.
 void recordRunTime(run_estimates&, const std::string& queue, std::int64_t runMs);
 
+/// Returns whether enough runs of the queue were observed, so that their mean replaces the estimates of submitters.
+bool isLearnt(const run_estimates&, const std::string& queue);
+
 /// Returns the expected run time of a task of the step, in milliseconds.
 double expectedRunMs(const run_estimates&, const job_record&, const step_spec&);
 
--- a/tests/batch/workspace_share_test.cpp
+++ b/tests/batch/workspace_share_test.cpp
@@ -36,6 +36,7 @@
     constexpr std::int64_t otherEveryMs = 5'000;
     constexpr int burstJobs = 480;
     std::vector<std::string> jobs;
+    jobs.reserve(burstJobs + lengthMs / otherEveryMs);
     std::map<std::string, std::int64_t> waitingSince;
     std::int64_t longest = 0;
     for (int i = 0; i < burstJobs; ++i)
