--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -7,6 +7,7 @@
 #include "chervilport/batch/urgent_reservation.h"
 #include "chervilport/batch/waiting_step.h"
 #include "chervilport/batch/worker_speeds.h"
+#include "chervilport/batch/workspace_share.h"
 
 #include <cstdint>
 #include <map>
@@ -44,6 +45,10 @@
     worker_speeds speeds;
     /// Recent demand of urgent work by service.
     std::map<std::string, urgent_demand_window> urgentDemand;
+    /// Recent use by workspace.
+    workspace_use use;
+    /// Time of the first pass of this leader, Unix milliseconds; 0 before.
+    std::int64_t firstPassMs = 0;
 };
 
 /// A run that is preempted for a job.
