--- a/chervilport/batch/start_forecast.cpp
+++ b/chervilport/batch/start_forecast.cpp
@@ -231,14 +231,14 @@
     }
 
     /// A waiting step and the urgency that decides whether it goes ahead of the job.
-    struct waiting_step {
+    struct step_ahead {
         ready_step step;
         delay_cost cost;
         double urgency = 0;
     };
 
     /// Returns the waiting steps that go ahead of the job, in their order.
-    std::vector<waiting_step> listAhead(forecast_run& run)
+    std::vector<step_ahead> listAhead(forecast_run& run)
     {
         const auto& estimates = run.schedulerState.estimates;
         const auto& spec = run.job.request.steps.front();
@@ -252,7 +252,7 @@
         run.result.isBeyondShare = isBeyondShare(use, run.state.config, workspaces, run.job.workspace);
         const auto own
             = peakUrgency(delayCostOf(run.state, estimates, run.job), 0, waitMs) * factors.at(run.job.workspace);
-        std::vector<waiting_step> ahead;
+        std::vector<step_ahead> ahead;
         for (auto& each : ready) {
             const auto& other = specOf(each);
             const bool usesPool = serviceOf(run.state, *each.job) == serviceOf(run.state, run.job)
@@ -265,7 +265,7 @@
             if (urgency >= own)
                 ahead.push_back({ std::move(each), cost, urgency });
         }
-        std::stable_sort(ahead.begin(), ahead.end(), [](const waiting_step& left, const waiting_step& right) {
+        std::stable_sort(ahead.begin(), ahead.end(), [](const step_ahead& left, const step_ahead& right) {
             return std::tie(right.urgency, left.step.jobDueMs) < std::tie(left.urgency, right.step.jobDueMs);
         });
         return ahead;
