--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -298,7 +298,7 @@
     });
 }
 
-void control_node::dispatchReport(const batch::worker_report& report, std::shared_ptr<control_call> call,
+void control_node::dispatchReport(const batch::worker_report& report, const std::shared_ptr<control_call>& call,
     std::string name, const std::function<http_response()>& known)
 {
     if (!batch::changesWorker(m_jobs->state(), report)) {
--- a/chervilport/control/control_node.h
+++ b/chervilport/control/control_node.h
@@ -56,7 +56,7 @@
 
     /// Responds to a worker's report with `known` when the report would not change the local replicated state, which
     /// spares a call to the leader; otherwise like `dispatch`, a bounded number at a time.
-    void dispatchReport(const batch::worker_report&, std::shared_ptr<control_call>, std::string name,
+    void dispatchReport(const batch::worker_report&, const std::shared_ptr<control_call>&, std::string name,
         const std::function<http_response()>& known);
 
     /// Returns whether this instance is the leader, has applied all committed entries, and no other instance can lead.
--- a/tests/http/curl_sockets_test.cpp
+++ b/tests/http/curl_sockets_test.cpp
@@ -10,17 +10,17 @@
 
 namespace {
 
-/// Connects a socket to an endpoint without waiting.
-void beginConnect(int socket, const asio::ip::tcp::endpoint& remote)
+/// Connects a socket to an endpoint of the loopback interface.
+void connectTo(int socket, const asio::ip::tcp::endpoint& remote)
 {
-    ::connect(socket, remote.data(), static_cast<socklen_t>(remote.size()));
+    cr_assert_eq(::connect(socket, remote.data(), static_cast<socklen_t>(remote.size())), 0);
 }
 
 std::uint16_t localPortOf(int socket)
 {
     asio::ip::tcp::endpoint local;
     auto length = static_cast<socklen_t>(local.capacity());
-    ::getsockname(socket, local.data(), &length);
+    cr_assert_eq(::getsockname(socket, local.data(), &length), 0);
     return local.port();
 }
 
@@ -44,12 +44,14 @@
 
     // Sockets that stay unconnected stand for the connections that are still being opened.
     std::vector<int> handles;
+    handles.reserve(connecting);
     for (int i = 0; i < connecting; ++i)
         handles.push_back(sockets.open(AF_INET));
     std::vector<int> established;
+    established.reserve(connected);
     for (std::size_t i = 0; i < connected; ++i) {
         established.push_back(sockets.open(AF_INET));
-        beginConnect(established.back(), remote);
+        connectTo(established.back(), remote);
         sockets.watch(established.back(), CURL_POLL_OUT);
     }
     while (ready.size() < connected)
