Soak: overload phase, two workspaces, a queue of priority 0, foreign heartbeats

The clients submit to two workspaces and two queues, and in the middle third of the traffic about five times as often as otherwise, so that calls are refused and jobs wait. A worker of an unknown service announces itself at the address of an executor; a run that is started there is a violation.

Not part of it: scheduled and long-running jobs, and a bound on the wait of jobs of priority 0 within the guarantee of their workspace.

--- a/tests/soak/executor_fleet.cpp
+++ b/tests/soak/executor_fleet.cpp
@@ -56,6 +56,10 @@
     for (const auto& each : m_members)
         each.executor->expireOverdueLease();
     updateGangs(now);
+    if (now >= m_nextForeignHeartbeat) {
+        m_nextForeignHeartbeat = now + heartbeatInterval;
+        sendForeignHeartbeat();
+    }
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         auto& each = m_members[i];
         leaveOrRejoin(i, now);
@@ -116,6 +120,19 @@
     });
 }
 
+void executor_fleet::sendForeignHeartbeat()
+{
+    auto body = m_members.front().executor->describe(
+        m_cluster.executorAddress(0), m_cluster.failureDomainOf(0), m_cluster.rackOf(0));
+    body["service"] = "foreign";
+    http_client_request call;
+    call.address = m_cluster.anyControlAddress(m_random());
+    call.timeout = heartbeatTimeout;
+    call.request = { "PUT", std::string("/v1/instances/") + fake_executor::foreignId,
+        { { "Content-Type", "application/json" } }, body.dump() };
+    m_client.send(std::move(call), [](const http_result&) {});
+}
+
 void executor_fleet::sendLeave(std::size_t number)
 {
     http_client_request call;
--- a/tests/soak/executor_fleet.h
+++ b/tests/soak/executor_fleet.h
@@ -61,6 +61,7 @@
     void tick();
     void updateGangs(std::chrono::steady_clock::time_point now);
     void sendHeartbeat(std::size_t number);
+    void sendForeignHeartbeat();
     void sendLeave(std::size_t number);
     void leaveOrRejoin(std::size_t number, std::chrono::steady_clock::time_point now);
 
@@ -71,6 +72,7 @@
     repeating_timer m_tick;
     std::mt19937_64 m_random;
     std::vector<member> m_members;
+    std::chrono::steady_clock::time_point m_nextForeignHeartbeat;
 };
 
 } // namespace chervilport::soak
--- a/tests/soak/fake_executor.cpp
+++ b/tests/soak/fake_executor.cpp
@@ -126,7 +126,10 @@
         return;
     }
     // Refuse requests for another executor id.
-    if (findHeader(request.headers, "X-Chervilport-Expect-Instance") != m_id) {
+    const auto expected = findHeader(request.headers, "X-Chervilport-Expect-Instance");
+    if (expected == foreignId && request.target == "/v1/run-start")
+        m_checker.reportViolation("a worker of a foreign service gets no runs", request.body);
+    if (expected != m_id) {
         reply.send(json(incarnationMismatch, { { "clock_ms", clockMs() } }));
         return;
     }
--- a/tests/soak/fake_executor.h
+++ b/tests/soak/fake_executor.h
@@ -85,6 +85,9 @@
     /// Time at which the drain ends and it leaves.
     std::chrono::steady_clock::time_point leavesAt;
 
+    /// Id of a worker of a service that the configuration does not contain, announced at the address of an executor.
+    static constexpr const char* foreignId = "foreign-1";
+
     /// Capacity in thousandths of a core.
     static constexpr std::int64_t milliCores = 16'000;
     /// Capacity of memory in MB.
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -17,6 +17,8 @@
     using namespace std::chrono_literals;
 
     constexpr auto meanInterval = 300ms;
+    /// Mean interval under overload: the jobs need about three times the accelerators of the default fleet.
+    constexpr auto overloadInterval = 55ms;
     constexpr auto callDeadline = 3'000ms;
     /// Time for which a client waits beyond the deadline that it sent.
     constexpr auto callMargin = 300ms;
@@ -46,6 +48,20 @@
             && (result.response.status < firstServerError || result.response.status == unavailable);
     }
 
+    /// Returns the key of the workspace of a job; the first digit of the id selects it.
+    const char* keyOf(const std::string& id)
+    {
+        return id.front() % 2 == 0 ? soak_operator::permanentKey : soak_operator::secondKey;
+    }
+
+    http_request jobRequest(const char* method, const std::string& id, std::string body = {})
+    {
+        http_request request { method, soak_operator::prefix + id, { { "Api-Key", keyOf(id) } }, std::move(body) };
+        if (!request.body.empty())
+            request.headers.push_back({ "Content-Type", "application/json" });
+        return request;
+    }
+
     std::string newId(std::mt19937_64& random)
     {
         constexpr std::size_t digits = 16;
@@ -108,7 +124,12 @@
 {
 }
 
-void soak_clients::start() { scheduleNext(); }
+void soak_clients::start(std::chrono::milliseconds length)
+{
+    m_overloadBegin = std::chrono::steady_clock::now() + length / 3;
+    m_overloadEnd = m_overloadBegin + length / 3;
+    scheduleNext();
+}
 
 void soak_clients::runAfter(std::chrono::milliseconds pause, std::function<void()> action)
 {
@@ -121,8 +142,10 @@
 
 void soak_clients::scheduleNext()
 {
-    std::exponential_distribution<double> gap(
-        1.0 / static_cast<double>(std::chrono::milliseconds(meanInterval).count()));
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds mean
+        = now >= m_overloadBegin && now < m_overloadEnd ? overloadInterval : meanInterval;
+    std::exponential_distribution<double> gap(1.0 / static_cast<double>(mean.count()));
     m_timer.expires_after(std::chrono::milliseconds(static_cast<std::int64_t>(gap(m_random))));
     m_timer.async_wait([this](const std::error_code& error) {
         if (error || !m_isSubmitting)
@@ -139,8 +162,6 @@
     sent.timeout = callDeadline + callMargin;
     request.headers.push_back({ "Host", soak_operator::host });
     request.headers.push_back({ "X-Chervilport-Deadline-Ms", std::to_string(callDeadline.count()) });
-    if (findHeader(request.headers, "Api-Key").empty())
-        request.headers.push_back({ "Api-Key", soak_operator::permanentKey });
     sent.request = std::move(request);
     m_httpClient.send(std::move(sent), done);
 }
@@ -177,7 +198,7 @@
 void soak_clients::send(const std::shared_ptr<submission>& pending)
 {
     ++pending->attempts;
-    call({ "POST", soak_operator::prefix + pending->id, { { "Content-Type", "application/json" } }, pending->body },
+    call(jobRequest("POST", pending->id, pending->body),
         [this, pending](const http_result& result) { handleResponse(pending, result); });
 }
 
@@ -211,15 +232,14 @@
         cancelLater(pending->id);
     // Send the request again, as a delayed duplicate in the network would arrive.
     if (std::bernoulli_distribution(resendProbability)(m_random))
-        call({ "POST", soak_operator::prefix + pending->id, { { "Content-Type", "application/json" } }, pending->body },
-            [](const http_result&) {});
+        call(jobRequest("POST", pending->id, pending->body), [](const http_result&) {});
     pollState(pending->id);
 }
 
 void soak_clients::pollState(const std::string& id)
 {
     const bool wasCancelAcknowledged = m_checker.find(id)->isCancelAcknowledged;
-    call({ "GET", soak_operator::prefix + id, {}, {} }, [this, id, wasCancelAcknowledged](const http_result& result) {
+    call(jobRequest("GET", id), [this, id, wasCancelAcknowledged](const http_result& result) {
         if (result.delivery == http_delivery::Complete) {
             const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
             m_checker.recordState(
@@ -241,7 +261,7 @@
 void soak_clients::cancel(const std::string& id)
 {
     m_checker.find(id)->isCancelSent = true;
-    call({ "DELETE", soak_operator::prefix + id, {}, {} }, [this, id](const http_result& result) {
+    call(jobRequest("DELETE", id), [this, id](const http_result& result) {
         if (isSuccess(result))
             m_checker.find(id)->isCancelAcknowledged = true;
         else if (result.delivery == http_delivery::Complete && result.response.status == gone)
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -29,8 +30,8 @@
     soak_clients(
         asio::io_context&, soak_cluster&, invariant_checker&, http_client&, soak_operator&, std::uint64_t seed);
 
-    /// Starts to submit.
-    void start();
+    /// Starts to submit. In the middle third of `length` jobs arrive faster than the executors can run them.
+    void start(std::chrono::milliseconds length);
 
     /// Stops submitting new jobs. Pending submissions are retried and accepted jobs polled as before.
     void stopSubmitting() { m_isSubmitting = false; }
@@ -68,6 +69,8 @@
     soak_operator& m_operators;
     std::mt19937_64 m_random;
     asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_overloadBegin;
+    std::chrono::steady_clock::time_point m_overloadEnd;
     bool m_isSubmitting = true;
     std::size_t m_pending = 0;
     std::size_t m_accepted = 0;
--- a/tests/soak/soak_operator.cpp
+++ b/tests/soak/soak_operator.cpp
@@ -25,6 +25,20 @@
     constexpr int badRequest = 400;
     constexpr int firstServerError = 500;
 
+    nlohmann::json describeRoute(const char* name, const char* pathPrefix, int priority)
+    {
+        return { { "name", name }, { "host", soak_operator::host }, { "path_prefix", pathPrefix },
+            { "type", "non_idempotent" }, { "timeout_ms", 3'000 }, { "target_duration_ms", 1'000 },
+            { "priority", priority }, { "service", "planner" }, { "max_attempts", soak_operator::maxAttempts },
+            { "stretch", 3.0 }, { "public", false } };
+    }
+
+    nlohmann::json describeWorkspace(const char* name, const std::vector<std::string>& keys, int guarantee)
+    {
+        return { { "name", name }, { "api_keys", keys }, { "priority", 1 },
+            { "guaranteed_gpus", { { "gpu", guarantee } } } };
+    }
+
 } // namespace
 
 soak_operator::soak_operator(asio::io_context& context, soak_cluster& cluster, invariant_checker& checker,
@@ -51,15 +65,13 @@
     const auto key = "temporary-" + std::to_string(version) + '-' + std::to_string(m_random());
     m_temporaryKeys[version].push_back(key);
     nlohmann::json body { { "version", version } };
-    body["routes"] = nlohmann::json::array({ { { "name", "r-soak" }, { "host", host }, { "path_prefix", prefix },
-        { "type", "non_idempotent" }, { "timeout_ms", 3'000 }, { "target_duration_ms", 1'000 }, { "priority", 1 },
-        { "service", "planner" }, { "max_attempts", maxAttempts }, { "stretch", 3.0 }, { "public", false } } });
+    body["routes"] = { describeRoute("r-soak", prefix, 1), describeRoute("r-urgent", urgentPrefix, 0) };
     body["services"] = nlohmann::json::array({ { { "name", "planner" }, { "health_path", "/health" },
         { "max_conns", 64 }, { "protocol", "h1" }, { "tls", false }, { "admission_control", false } } });
     body["limits"] = { { "max_header_bytes", 16'384 }, { "max_body_bytes", 262'144 }, { "header_timeout_ms", 3'000 },
         { "idle_timeout_ms", 15'000 } };
-    body["tenants"] = nlohmann::json::array({ { { "name", "soak" }, { "api_keys", { permanentKey, key } },
-        { "priority", 1 }, { "guaranteed_gpus", { { "gpu", 8 } } } } });
+    body["tenants"]
+        = { describeWorkspace("soak", { permanentKey, key }, 8), describeWorkspace("second", { secondKey }, 4) };
     auto document = body.dump();
     m_sentDocuments[version].insert(document);
     return document;
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -29,8 +29,12 @@
     static constexpr const char* host = "soak.example";
     /// Path prefix of the route to the jobs.
     static constexpr const char* prefix = "/jobs/";
-    /// API key that all configurations contain.
+    /// Path prefix of the route with priority 0; it takes the jobs whose id begins with this digit.
+    static constexpr const char* urgentPrefix = "/jobs/0";
+    /// API key of the first workspace that all configurations contain.
     static constexpr const char* permanentKey = "key-that-stays";
+    /// API key of the second workspace, which has a smaller guarantee.
+    static constexpr const char* secondKey = "key-of-the-second-workspace";
     /// Failed runs after which a job fails; large enough that executors with `failsRuns` do not exhaust it.
     static constexpr int maxAttempts = 12;
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -87,7 +87,7 @@
 
     // Inject faults while the clients and operators are active, and wait until the faults are over.
     startLogClock();
-    clients.start();
+    clients.start(options.length);
     injector.start(makeFaultPlan(random(), options.length));
     runUntil(context, options.length, [] { return false; });
     operators.stopChanging();
