--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -270,8 +270,6 @@
     // Prepare the slots and the reservations for urgent jobs.
     removeExpired(state, schedulerState, nowMs);
     recordUse(schedulerState.use, state, nowMs);
-    if (schedulerState.firstPassMs == 0)
-        schedulerState.firstPassMs = nowMs;
     pass current { state, schedulerState, bounds, nowMs, guaranteedJobs(state, schedulerState.estimates, nowMs),
         makeSlots(state, conditions, schedulerState, nowMs) };
     reservePools(current);
--- a/chervilport/batch/scheduling_pass.h
+++ b/chervilport/batch/scheduling_pass.h
@@ -47,8 +47,6 @@
     std::map<std::string, urgent_demand_window> urgentDemand;
     /// Recent use by workspace.
     workspace_use use;
-    /// Time of the first pass of this leader, Unix milliseconds; 0 before.
-    std::int64_t firstPassMs = 0;
 };
 
 /// A run that is preempted for a job.
