--- a/chervilport/batch/workspace_share.cpp
+++ b/chervilport/batch/workspace_share.cpp
@@ -12,9 +12,9 @@
 
     /// Time after which half of a use is left, in milliseconds.
     constexpr double halfLifeMs = 15'000;
-    /// Bounds of the factor. The ratio between two workspaces is that of two steps of priority, so that a burst of
-    /// urgent jobs still goes before patient ones.
-    constexpr double maxFactor = 2.0;
+    /// Bounds of the factor. The ratio between two workspaces stays within one step of priority, so that urgent jobs of
+    /// a workspace beyond its share still go before patient ones of another.
+    constexpr double maxFactor = std::numbers::sqrt2;
     constexpr double minFactor = 1 / maxFactor;
     /// Use that is assumed beside the recorded one, split by share, in core-seconds. It keeps a few short runs in an
     /// idle pool from changing the order.
