One place for the status of a job by its age

Cause: latency_objective still held the classification of the earlier order, which nothing used, and delay_cost computed the objective a second time. Change: statusAt of delay_cost replaces both; the unused overload and isWorthless are gone. No decision changes.

--- a/chervilport/batch/delay_cost.cpp
+++ b/chervilport/batch/delay_cost.cpp
@@ -17,8 +17,6 @@
     constexpr std::int64_t lowestWeighedPriority = 8;
     /// Exponent of the work of a job in its value; 1 would ignore that small jobs serve more callers for the same room.
     constexpr double workExponent = 0.9;
-    /// Ratio of the expiry to the objective.
-    constexpr double expiryFactor = 3.0;
     /// Part of its value that a result has between the objective and the expiry.
     constexpr double lateValueRatio = 0.3;
     /// Standard deviation of run times as a ratio of the expected ones.
@@ -70,9 +68,7 @@
         delay_cost cost;
         const auto* const queue = findQueue(state.config, job.queue);
         const bool isTimed = queue != nullptr && (queue->stretch > 0 || queue->baseObjectiveMs > 0);
-        if (isTimed)
-            cost.objectiveMs
-                = queue->stretch * expectedChainMs(estimates, job) + static_cast<double>(queue->baseObjectiveMs);
+        cost.objectiveMs = isTimed ? objectiveMs(state, estimates, job) : 0;
         cost.expiryMs = expiryFactor * cost.objectiveMs;
         cost.remainingMs = remainingMs;
         cost.remainingWork = remainingWork(estimates, job, occurrence);
@@ -97,13 +93,16 @@
     return makeCost(state, estimates, *ready.job, occurrence, expectedChainMs(estimates, *ready.job, ready.step));
 }
 
-delay_cost delayCostOf(const batch_state& state, const run_estimates& estimates, const job_record& job)
+bool hasObjective(const delay_cost& cost) { return cost.expiryMs > 0; }
+
+objective_status statusAt(const delay_cost& cost, double startAgeMs)
 {
-    return makeCost(state, estimates, job, nullptr, expectedChainMs(estimates, job));
+    const auto finishMs = startAgeMs + cost.remainingMs;
+    if (finishMs <= cost.objectiveMs)
+        return objective_status::OnTime;
+    return finishMs <= cost.expiryMs ? objective_status::Late : objective_status::Expired;
 }
 
-bool hasObjective(const delay_cost& cost) { return cost.expiryMs > 0; }
-
 double expectedValue(const delay_cost& cost, double startAgeMs)
 {
     const auto finishMs = startAgeMs + cost.remainingMs;
@@ -131,9 +130,4 @@
     return loss / cost.remainingWork;
 }
 
-bool isWorthless(const delay_cost& cost, double startAgeMs)
-{
-    return hasObjective(cost) && startAgeMs + (1 - runTimeDeviation) * cost.remainingMs > cost.expiryMs;
-}
-
 } // namespace chervilport::batch
--- a/chervilport/batch/delay_cost.h
+++ b/chervilport/batch/delay_cost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/batch_state.h"
+#include "chervilport/batch/latency_objective.h"
 #include "chervilport/batch/ready_step.h"
 #include "chervilport/batch/run_estimates.h"
 
@@ -30,12 +31,12 @@
 /// Returns the cost of a delay of a ready step. Without an objective in its queue the expiry is 0, see `hasObjective`.
 delay_cost delayCostOf(const batch_state&, const run_estimates&, const ready_step&);
 
-/// Returns the cost of a delay of a job that has not started.
-delay_cost delayCostOf(const batch_state&, const run_estimates&, const job_record&);
-
 /// Returns whether the queue of the job states an objective, so that a delay has a cost that can be computed.
 bool hasObjective(const delay_cost&);
 
+/// Returns whether a result can still come in time, or be of use, when the step starts at this age.
+objective_status statusAt(const delay_cost&, double startAgeMs);
+
 /// Returns the expected value of the result when the step starts at this age. Run times are uncertain, so the value
 /// falls smoothly around the objective and the expiry.
 double expectedValue(const delay_cost&, double startAgeMs);
@@ -48,7 +49,4 @@
 /// urgency that grows with its age, so that no job starves.
 double urgencyOf(const delay_cost&, double ageMs, double meanWaitMs);
 
-/// Returns whether the result is of no use even if the run times are shorter than expected.
-bool isWorthless(const delay_cost&, double startAgeMs);
-
 } // namespace chervilport::batch
--- a/chervilport/batch/latency_objective.cpp
+++ b/chervilport/batch/latency_objective.cpp
@@ -1,19 +1,7 @@
 #include "chervilport/batch/latency_objective.h"
 
-#include "chervilport/batch/guaranteed_jobs.h"
-
 namespace chervilport::batch {
 
-namespace {
-
-    /// A result is useful up to this multiple of the objective; a job that finishes later expires.
-    constexpr double expiryFactor = 3.0;
-    /// Ratio of the slack of an objective after which a step that waits is at risk. Run times differ by about a third
-    /// from the expected ones.
-    constexpr double riskSlackRatio = 0.65;
-
-} // namespace
-
 double objectiveMs(const batch_state& state, const run_estimates& estimates, const job_record& job)
 {
     const auto* const queue = findQueue(state.config, job.queue);
@@ -35,25 +23,4 @@
     return finish > expiryFactor * objectiveMs(state, estimates, job);
 }
 
-objective_status objectiveStatusOf(
-    const batch_state& state, const run_estimates& estimates, const ready_step& ready, std::int64_t nowMs)
-{
-    if (specOf(ready).longRunning)
-        return objective_status::OnTime;
-    const auto objective = objectiveMs(state, estimates, *ready.job);
-    const auto age = static_cast<double>(nowMs - ready.jobDueMs);
-    const auto finish = age + expectedChainMs(estimates, *ready.job, ready.step);
-    if (finish <= objective)
-        return objective_status::OnTime;
-    return finish <= expiryFactor * objective ? objective_status::Late : objective_status::Expired;
-}
-
-bool isAtRisk(const batch_state& state, const run_estimates& estimates, const ready_step& ready, std::int64_t nowMs)
-{
-    if (specOf(ready).longRunning || ready.job->priority == guaranteedPriority)
-        return false;
-    const auto slack = objectiveMs(state, estimates, *ready.job) - expectedChainMs(estimates, *ready.job, ready.step);
-    return static_cast<double>(nowMs - ready.jobDueMs) > riskSlackRatio * slack;
-}
-
 } // namespace chervilport::batch
--- a/chervilport/batch/pass_order.cpp
+++ b/chervilport/batch/pass_order.cpp
@@ -13,13 +13,6 @@
 
 } // namespace
 
-objective_status statusOf(const ordered_step& step)
-{
-    if (step.isOnTime)
-        return objective_status::OnTime;
-    return step.isWorthless ? objective_status::Expired : objective_status::Late;
-}
-
 double meanWaitMs(const run_estimates& estimates, const std::vector<ready_step>& steps)
 {
     if (steps.empty())
@@ -42,8 +35,7 @@
         return;
     }
     const auto ageMs = static_cast<double>(nowMs - ready.jobDueMs);
-    ordered.isOnTime = ageMs + cost.remainingMs <= cost.objectiveMs;
-    ordered.isWorthless = ageMs + cost.remainingMs > cost.expiryMs;
+    ordered.status = statusAt(cost, ageMs);
     ordered.urgency = urgencyOf(cost, ageMs, meanWaitMs);
 }
 
--- a/chervilport/batch/pass_order.h
+++ b/chervilport/batch/pass_order.h
@@ -20,19 +20,14 @@
     /// Whether it is a long-running step that has waited. It is placed before gangs reserve the free workers for
     /// themselves: its users are without service until it runs.
     bool isOverdueService = false;
-    /// Whether its job can still end within its objective.
-    bool isOnTime = true;
-    /// Whether the result of its job is of no use any more.
-    bool isWorthless = false;
+    /// Whether its job can still end in time.
+    objective_status status = objective_status::OnTime;
     /// Cost of a delay of its job.
     delay_cost cost;
     /// Expected loss of value for each core-second if it waits; see `urgencyOf`.
     double urgency = 0;
 };
 
-/// Returns whether the job of a step can still end in time.
-objective_status statusOf(const ordered_step&);
-
 /// Returns the mean wait that steps are compared with: the time in which room becomes free, in milliseconds.
 double meanWaitMs(const run_estimates&, const std::vector<ready_step>&);
 
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -126,7 +126,7 @@
             // A guaranteed job may reclaim capacity at once for its first start. After it has lost its runs, it may do
             // so only while it can still meet its objective.
             const auto& job = *next.step.job;
-            const bool mayReclaim = next.isOnTime || !job.hasStarted;
+            const bool mayReclaim = next.status == objective_status::OnTime || !job.hasStarted;
             next.isGuaranteed = mayReclaim && current.guaranteed.contains(job.request.id);
             next.isOverdueService = waits && specOf(next.step).longRunning;
             ordered.push_back(std::move(next));
@@ -249,7 +249,7 @@
         const auto& ready = ordered.step;
         const auto& job = ready.job->request.id;
         current.result.waiting.push_back({ job, ready.occurrence, ready.step, tasks, current.nowMs - ready.jobDueMs,
-            statusOf(ordered), queue.count, queue.first });
+            ordered.status, queue.count, queue.first });
         if (queue.count++ == 0)
             queue.first = job;
     }
@@ -286,9 +286,9 @@
         // A long-running task keeps the worker for good, so it takes a reserved one only if there is no other.
         if (ordered.isOverdueService && !anyFits(current, each, service))
             each.mayUseUrgentReservation = true;
-        const bool isUrgent = each.job->priority == guaranteedPriority && ordered.isOnTime;
+        const bool isUrgent = each.job->priority == guaranteedPriority && ordered.status == objective_status::OnTime;
         const bool mayPreempt = (isGuaranteed || isUrgent) && !each.needsEmptyWorker;
-        const bool mayReserve = !isGuaranteed && specOf(each).gang && !ordered.isWorthless;
+        const bool mayReserve = !isGuaranteed && specOf(each).gang && ordered.status != objective_status::Expired;
         if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
             if (mayReserve)
                 reserveForGang(current.slots, each, service, gangBudget);
--- a/tests/batch/delay_cost_test.cpp
+++ b/tests/batch/delay_cost_test.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr double expiryFactor = 3;
-
 delay_cost costOf(double value, double objectiveMs, double remainingMs, double work)
 {
     return { value, objectiveMs, expiryFactor * objectiveMs, remainingMs, work };
