--- a/chervilport/batch/pass_order.h
+++ b/chervilport/batch/pass_order.h
@@ -40,8 +40,8 @@
 /// Multiplies the urgency of the steps by the factors of their workspaces; see `shareFactors`.
 void weighByShares(std::vector<ordered_step>&, const workspace_use&, const site_config&);
 
-/// Sorts steps into the order in which a pass places them: guaranteed ones, overdue services, then by urgency; equal
-/// ones by priority and due time.
+/// Sorts steps into the order in which a pass places them: guaranteed ones, overdue services, then those that can end
+/// in time, late ones and expired ones, each by urgency; equal ones by priority and due time.
 void sortForPass(std::vector<ordered_step>&);
 
 } // namespace chervilport::batch
