--- /dev/null
+++ b/review/driver-2/site.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "http.h"
+#include "process.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace review {
+
+/// Three machines of each role on loopback addresses, with settings like those of the smallest deployment.
+class site {
+public:
+    /// Writes the settings into a folder. Nothing runs yet.
+    explicit site(std::string folder);
+
+    /// Starts all machines with empty disks.
+    void startAll();
+
+    /// Starts one machine again, with its disk as it is.
+    void startCore(std::size_t number);
+    void startEntry(std::size_t number);
+
+    process& core(std::size_t number) { return *m_cores.at(number); }
+    process& entry(std::size_t number) { return *m_entries.at(number); }
+
+    /// Addresses for clients, and for executors and the operator.
+    endpoint front(std::size_t number) const;
+    endpoint control(std::size_t number) const;
+
+    /// Returns a loopback address of this site for an executor.
+    std::string executorIp(std::size_t number) const;
+
+    /// Returns the number of the core machine that leads by its log, or -1.
+    int leader() const;
+
+    /// Returns the names of the machines whose process has ended by itself.
+    std::string endedProcesses();
+
+    static constexpr std::size_t machinesPerRole = 3;
+
+private:
+    void writeSettings(bool isCore, std::size_t number, bool isFirstStart) const;
+    std::string fileOf(bool isCore, std::size_t number, const char* suffix) const;
+    std::string ipOf(bool isCore, std::size_t number) const;
+
+    std::string m_folder;
+    std::string m_prefix;
+    std::vector<std::unique_ptr<process>> m_cores;
+    std::vector<std::unique_ptr<process>> m_entries;
+};
+
+} // namespace review
