--- a/review/driver-2/worker.cpp
+++ b/review/driver-2/worker.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-worker::worker(worker_settings settings, record& written)
+worker::worker(worker_settings settings, record& written, run_board& board)
     : m_settings(std::move(settings))
     , m_record(written)
+    , m_board(board)
     , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count())
     , m_server(std::make_unique<http_server>(
@@ -120,6 +121,7 @@
         return conflict("old");
     m_runs[task] = { run, clockMs() + m_settings.work.count(), -1 };
     ++m_starts[jobOf(task)];
+    m_board.begin(task, m_settings.id);
     m_record.write("run-start " + m_settings.id + ' ' + task + " run " + std::to_string(run));
     return accepted;
 }
@@ -162,6 +164,7 @@
     auto& highest = m_highestEnded[task];
     highest = std::max(highest, run);
     m_ends.push_back({ ++m_lastEnd, task, run, how });
+    m_board.end(task, m_settings.id);
     m_record.write("run-end " + m_settings.id + ' ' + task + " run " + std::to_string(run) + ' ' + how);
     m_changed.notify_all();
 }
--- a/review/driver-2/worker.h
+++ b/review/driver-2/worker.h
@@ -2,6 +2,7 @@
 
 #include "http.h"
 #include "record.h"
+#include "run_board.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -37,7 +38,7 @@
 /// acknowledged, and heartbeats.
 class worker {
 public:
-    worker(worker_settings, record&);
+    worker(worker_settings, record&, run_board&);
     ~worker();
 
     worker(const worker&) = delete;
@@ -46,6 +47,9 @@
     /// Stops to serve and to send heartbeats, and waits for the threads.
     void stop();
 
+    /// Returns the address at which it serves.
+    endpoint address() const { return m_server->address(); }
+
     /// Returns the number of starts of tasks of a job.
     std::size_t startsOf(const std::string& job) const;
 
@@ -78,6 +82,7 @@
 
     worker_settings m_settings;
     record& m_record;
+    run_board& m_board;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::chrono::steady_clock::time_point m_begin = std::chrono::steady_clock::now();
