Review case 8: a job starts after its cancelling was acknowledged

Promise tested: UNASKED, no task starts later than cancel_ms after the acknowledgement of the cancelling.

--- a/review/driver-2/cases.h
+++ b/review/driver-2/cases.h
@@ -15,5 +15,6 @@
 /// Each plays one case with its files in a temporary folder, writes the record, and returns whether the rule held.
 verdict runCase6(const std::string& folder, const std::string& recordFile, bool isTroubled);
 verdict runCase7(const std::string& folder, const std::string& recordFile, bool isTroubled);
+verdict runCase8(const std::string& folder, const std::string& recordFile, bool isTroubled);
 
 } // namespace review
