Review case 9: an order held up by a cut undoes a later one, and a job never runs

Promise tested: LOST, an accepted job runs while there is capacity for it. A control machine is cut off for 5.5 s with an evacuation that it relays; the operator gets it acknowledged elsewhere and takes it back.

--- a/review/driver-2/cases.h
+++ b/review/driver-2/cases.h
@@ -16,5 +16,6 @@
 verdict runCase6(const std::string& folder, const std::string& recordFile, bool isTroubled);
 verdict runCase7(const std::string& folder, const std::string& recordFile, bool isTroubled);
 verdict runCase8(const std::string& folder, const std::string& recordFile, bool isTroubled);
+verdict runCase9(const std::string& folder, const std::string& recordFile, bool isTroubled);
 
 } // namespace review
--- a/review/driver-2/main.cpp
+++ b/review/driver-2/main.cpp
@@ -27,6 +27,8 @@
             result = runCase7(folder.string(), argv[2], isTroubled);
         else if (number == "8")
             result = runCase8(folder.string(), argv[2], isTroubled);
+        else if (number == "9")
+            result = runCase9(folder.string(), argv[2], isTroubled);
     } catch (const std::exception& error) {
         std::cerr << "driver-2: " << error.what() << '\n';
     }
--- a/review/driver-2/process.cpp
+++ b/review/driver-2/process.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -42,6 +43,18 @@
 
 process::~process() { kill(); }
 
+bool process::ownsSocket(const std::string& inode) const
+{
+    std::error_code error;
+    const std::filesystem::path folder("/proc/" + std::to_string(m_pid) + "/fd");
+    for (std::filesystem::directory_iterator each(folder, error), end; !error && each != end; each.increment(error)) {
+        std::error_code unreadable;
+        if (std::filesystem::read_symlink(each->path(), unreadable) == "socket:[" + inode + ']')
+            return true;
+    }
+    return false;
+}
+
 void process::signal(int number) const
 {
     if (m_pid > 0)
--- a/review/driver-2/process.h
+++ b/review/driver-2/process.h
@@ -16,6 +16,9 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
+    /// Returns whether the process has the socket with this inode number open.
+    bool ownsSocket(const std::string& inode) const;
+
     /// Sends a signal.
     void signal(int number) const;
 
--- a/review/driver-2/site.cpp
+++ b/review/driver-2/site.cpp
@@ -16,6 +16,8 @@
     constexpr std::size_t firstCore = 1;
     constexpr std::size_t firstEntry = 21;
     constexpr std::size_t firstExecutor = 101;
+    constexpr std::size_t firstListener = 41;
+    constexpr std::uint16_t peerPort = 7000;
 
     /// Returns the first three bytes of loopback addresses, derived from the process id, so that two cases do not share
     /// addresses.
@@ -35,9 +37,10 @@
 
 } // namespace
 
-site::site(std::string folder)
+site::site(std::string folder, bool usesLinks)
     : m_folder(std::move(folder))
     , m_prefix(uniquePrefix())
+    , m_usesLinks(usesLinks)
     , m_cores(machinesPerRole)
     , m_entries(machinesPerRole)
 {
@@ -54,6 +57,13 @@
 
 endpoint site::control(std::size_t number) const { return { ipOf(true, number), controlPort }; }
 
+endpoint site::peer(std::size_t number) const { return { ipOf(true, number), peerPort }; }
+
+endpoint site::peerListener(std::size_t number) const
+{
+    return { m_usesLinks ? m_prefix + std::to_string(firstListener + number) : ipOf(true, number), peerPort };
+}
+
 std::string site::fileOf(bool isCore, std::size_t number, const char* suffix) const
 {
     return m_folder + (isCore ? "/core-" : "/entry-") + std::to_string(number) + suffix;
@@ -72,6 +82,8 @@
     out << "]\n";
     if (isCore)
         out << "data_dir = \"" << fileOf(true, number, "-disk") << "\"\n";
+    if (isCore && m_usesLinks)
+        out << "bind_ip = \"" << peerListener(number).ip << "\"\n";
     out << "[listen]\n";
     if (isCore)
         out << "control = \"" << toText(control(number)) << "\"\n";
--- a/review/driver-2/site.h
+++ b/review/driver-2/site.h
@@ -12,8 +12,9 @@
 /// Three machines of each role on loopback addresses, with settings like those of the smallest deployment.
 class site {
 public:
-    /// Writes the settings into a folder. Nothing runs yet.
-    explicit site(std::string folder);
+    /// Keeps the settings, disks and logs in a folder. Nothing runs yet. With `usesLinks`, the control machines listen
+    /// to each other and to the entry machines at addresses of their own, and something has to forward connections.
+    explicit site(std::string folder, bool usesLinks = false);
 
     /// Starts all machines with empty disks.
     void startAll();
@@ -29,6 +30,10 @@
     endpoint front(std::size_t number) const;
     endpoint control(std::size_t number) const;
 
+    /// Address at which other machines reach a control machine, and the one at which it listens to them.
+    endpoint peer(std::size_t number) const;
+    endpoint peerListener(std::size_t number) const;
+
     /// Returns a loopback address of this site for an executor.
     std::string executorIp(std::size_t number) const;
 
@@ -47,6 +52,7 @@
 
     std::string m_folder;
     std::string m_prefix;
+    bool m_usesLinks;
     std::vector<std::unique_ptr<process>> m_cores;
     std::vector<std::unique_ptr<process>> m_entries;
 };
--- a/review/driver-2/worker.cpp
+++ b/review/driver-2/worker.cpp
@@ -191,8 +191,9 @@
     while (!m_stopped) {
         json body { { "service", m_settings.service }, { "address", toText(m_server->address()) },
             { "zone", m_settings.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" },
-            { "cold_left_ms", 0 }, { "labels", { "a", m_settings.rack } }, { "machine", "m-" + m_settings.id },
-            { "clock_ms", clockMs() }, { "born", m_born }, { "seq", ++m_sequence } };
+            { "cold_left_ms", 0 }, { "labels", { m_settings.kind, m_settings.rack } },
+            { "machine", "m-" + m_settings.id }, { "clock_ms", clockMs() }, { "born", m_born },
+            { "seq", ++m_sequence } };
         body["capacity"] = { { "cpu", m_settings.milliCores }, { "mem_mb", m_settings.memoryMb },
             { "gpu", m_settings.accelerators } };
         const auto answer
--- a/review/driver-2/worker.h
+++ b/review/driver-2/worker.h
@@ -22,6 +22,7 @@
     std::string ip;
     std::string zone;
     std::string rack;
+    std::string kind = "a";
     std::string service;
     /// Addresses of the machines that serve control.
     std::vector<endpoint> control;
