--- a/review/driver-2/case_9.cpp
+++ b/review/driver-2/case_9.cpp
@@ -1,61 +1,55 @@
 #include "cases.h"
-#include "links.h"
 #include "setup.h"
 
-#include <nlohmann/json.hpp>
+#include <csignal>
 #include <thread>
 
 namespace review {
 
 namespace {
 
-    using nlohmann::json;
     using namespace std::chrono_literals;
 
-    constexpr std::size_t executors = 9;
-    constexpr std::chrono::milliseconds work { 300 };
-    constexpr std::chrono::milliseconds cutTime { 5'500 };
-    constexpr std::chrono::milliseconds evacuationTime { 2'500 };
-    constexpr std::chrono::milliseconds operatorTimeout { 1'000 };
-    constexpr std::chrono::seconds finishTime { 14 };
-    constexpr const char* zone = "zone-1";
+    constexpr std::size_t executors = 4;
+    constexpr unsigned jobs = 5;
+    constexpr std::chrono::milliseconds work { 8'500 };
+    /// Length of the freeze as in the site file, and the time after which the clients leave, half of their objective.
+    constexpr std::chrono::milliseconds freezeTime { 3'500 };
+    constexpr std::chrono::milliseconds patience { 125 };
+    /// Bound of the site.
+    constexpr std::chrono::milliseconds cancelTime { 3'000 };
 
-    /// Sends an order to one control machine after the other until it is acknowledged. Returns whether it was.
-    bool order(record& written, const site& machines, std::size_t first, const std::string& method)
+    /// Hands in a job at the first entry machine, leaves without an answer, and cancels the job at the second one.
+    /// Returns the time of the acknowledgement of the cancelling, or -1.
+    std::int64_t handInAndCancel(record& written, const site& machines, const std::string& id)
     {
-        constexpr std::size_t attempts = 6;
-        for (std::size_t i = 0; i < attempts; ++i) {
-            const auto target = machines.control((first + i) % site::machinesPerRole);
-            const std::string path = std::string("/v1/evacuations/").append(zone);
-            const auto name = std::string("operator ").append(method).append(" ").append(path);
-            written.write(name + " to " + target.ip);
-            const auto answer = call(target, { method, path, {}, {} }, operatorTimeout);
-            written.write(name + " answered " + std::to_string(answer.status));
-            if (answer.status >= 200 && answer.status < 300)
-                return true;
-        }
-        return false;
+        const auto queue = testQueue();
+        const std::map<std::string, std::string> headers { { "host", queue.host }, { "api-key", queue.key },
+            { "x-chervilport-deadline-ms", "3000" } };
+        written.write("client POST " + id + " to " + machines.front(0).ip);
+        const auto answer = call(machines.front(0),
+            { "POST", queue.prefix + id, headers, makeJob(1, static_cast<int>(work.count())) }, patience);
+        written.write("client POST " + id
+            + (answer.status == 0 ? std::string(" left without an answer")
+                                  : " answered " + std::to_string(answer.status)));
+        const auto cancelled = callEntry(written, machines.front(1), queue, "DELETE", id, {});
+        const bool isAcknowledged = cancelled.status == 410 || (cancelled.status >= 200 && cancelled.status < 300);
+        return isAcknowledged ? written.nowMs() : -1;
     }
 
-    /// Executors of the zone are of the kind `b`, all others of the kind `a`.
-    std::vector<std::unique_ptr<worker>> startWorkersOfTwoKinds(const site& machines, record& written, run_board& board)
-    {
-        std::vector<std::unique_ptr<worker>> pool;
-        for (std::size_t i = 0; i < executors; ++i) {
-            auto settings = workerSettings(machines, i);
-            settings.kind = settings.zone == zone ? "b" : "a";
-            settings.work = work;
-            pool.push_back(std::make_unique<worker>(settings, written, board));
-        }
-        return pool;
-    }
+    /// A job and when the acknowledgement of its cancelling arrived.
+    struct cancelled_job {
+        std::string id;
+        std::int64_t acknowledgedMs = -1;
+        std::size_t startsBefore = 0;
+    };
 
-    /// A job that only an executor of the zone can run.
-    std::string makeJobOfZone()
+    std::size_t countStarts(const std::vector<std::unique_ptr<worker>>& pool, const std::string& id)
     {
-        auto job = json::parse(makeJob(2, work.count()));
-        job["steps"][0]["required_label"] = "b";
-        return job.dump();
+        std::size_t starts = 0;
+        for (const auto& each : pool)
+            starts += each->startsOf(id);
+        return starts;
     }
 
 } // namespace
@@ -64,44 +58,50 @@
 {
     record written(recordFile);
     run_board board(written);
-    site machines(folder, true);
+    site machines(folder);
     machines.startAll();
-    links network(machines);
-    const auto pool = startWorkersOfTwoKinds(machines, written, board);
+    const auto pool = startWorkers(machines, executors, work, written, board);
     if (!prepare(written, machines))
         return verdict::CouldNotRun;
-    const int leader = machines.leader();
-    if (leader < 0)
-        return verdict::CouldNotRun;
-    const auto follower = (static_cast<std::size_t>(leader) + 1) % site::machinesPerRole;
     if (isTroubled) {
-        written.write("core-" + std::to_string(follower) + " is cut off from the other control machines");
-        network.cut(static_cast<int>(follower));
+        written.write("entry-0 freezes");
+        machines.entry(0).signal(SIGSTOP);
     }
     const auto begin = std::chrono::steady_clock::now();
-    bool isAcknowledged = order(written, machines, follower, "POST");
-    std::this_thread::sleep_for(evacuationTime);
-    isAcknowledged = order(written, machines, static_cast<std::size_t>(leader), "DELETE") && isAcknowledged;
-    if (!isAcknowledged)
-        return verdict::CouldNotRun;
-    std::this_thread::sleep_until(begin + cutTime);
+    std::vector<cancelled_job> cancelled(jobs);
+    std::vector<std::thread> clients;
+    for (unsigned i = 0; i < jobs; ++i) {
+        clients.emplace_back([&, i] {
+            cancelled[i].id = jobId(1, i);
+            cancelled[i].acknowledgedMs = handInAndCancel(written, machines, cancelled[i].id);
+        });
+    }
+    for (auto& each : clients)
+        each.join();
+    // Every start from here on comes later than `cancel_ms` after the acknowledgement.
+    std::this_thread::sleep_for(cancelTime);
+    for (auto& each : cancelled)
+        each.startsBefore = countStarts(pool, each.id);
+    written.write("cancel_ms (3 s) after the last acknowledgement");
+    std::this_thread::sleep_until(begin + freezeTime);
     if (isTroubled) {
-        written.write("the cut ends");
-        network.cut(-1);
+        written.write("entry-0 wakes");
+        machines.entry(0).signal(SIGCONT);
     }
-    // The zone was taken back and acknowledged seconds ago.
-    std::this_thread::sleep_for(4s);
-    const auto id = jobId(1, 1);
-    if (submit(written, machines, testQueue(), 0, id, makeJobOfZone()) != submission::Accepted)
-        return verdict::CouldNotRun;
-    std::this_thread::sleep_for(finishTime);
-    std::size_t starts = 0;
-    for (const auto& each : pool)
-        starts += each->startsOf(id);
-    const auto state = stateOf(written, machines, testQueue(), id);
-    written.write("end: job " + id + " has " + std::to_string(starts) + " starts 14 s after it was accepted, state "
-        + state.value_or("no answer") + ", processes ended by themselves:" + machines.endedProcesses());
-    return starts == 0 ? verdict::Broken : verdict::Held;
+    std::this_thread::sleep_for(15s);
+    std::size_t late = 0;
+    for (const auto& each : cancelled) {
+        const auto state = stateOf(written, machines, testQueue(), each.id);
+        if (each.acknowledgedMs < 0 || countStarts(pool, each.id) == each.startsBefore)
+            continue;
+        ++late;
+        written.write("UNASKED job " + each.id + " was started after its cancelling had been acknowledged at "
+            + std::to_string(each.acknowledgedMs) + " ms, state " + state.value_or("no answer"));
+    }
+    written.write("end: " + std::to_string(jobs) + " jobs cancelled, " + std::to_string(late)
+        + " started later than cancel_ms after the acknowledgement, processes ended by themselves:"
+        + machines.endedProcesses());
+    return late > 0 ? verdict::Broken : verdict::Held;
 }
 
 } // namespace review
