Log what a submission records of its queue

Callers of review/6 got 200 for jobs that never start, and no line told why: job_submitted names the version of the configuration that the call was checked against, job_accepted nothing. Two explanations fitted the logs: the job is recorded without a service, or it is recorded with one and a later pass loses it.

Change: job_accepted carries queue, service, priority, attempts and the version of the configuration in force when the job was recorded.

--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -24,6 +24,20 @@
             });
     }
 
+    /// Logs the outcome of a submission, with what was recorded of the queue.
+    void logAcceptedJob(const batch::batch_state& state, const std::string& id, bool committed)
+    {
+        const auto* const job = batch::findJob(state, id);
+        if (!committed || job == nullptr) {
+            logEvent("job_accepted", { { "job", id }, { "outcome", "unknown" } });
+            return;
+        }
+        logEvent("job_accepted",
+            { { "job", id }, { "outcome", "committed" }, { "queue", job->queue }, { "service", job->service },
+                { "priority", job->priority }, { "max_attempts", job->maxAttempts },
+                { "config_version", state.config.version } });
+    }
+
     std::size_t countWorkers(const batch::batch_state& state, const std::string& failureDomain)
     {
         return static_cast<std::size_t>(std::count_if(state.workers.begin(), state.workers.end(),
@@ -61,8 +75,12 @@
             { "accelerators", request.steps.front().demand.accelerators },
             { "config_version", jobs.state().config.version } });
     auto id = request.id;
-    proposeLogged(jobs, batch::job_submitted { std::move(request), resolved.queue->name, resolved.workspace },
-        "job_accepted", std::move(id), std::move(done));
+    jobs.propose(batch::job_submitted { std::move(request), resolved.queue->name, resolved.workspace },
+        [&jobs, id = std::move(id), done = std::move(done)](proposal_result result) {
+            const bool committed = result == proposal_result::Committed;
+            logAcceptedJob(jobs.state(), id, committed);
+            done(committed ? call_result::Applied : call_result::Unknown);
+        });
 }
 
 void cancelJob(batch_controller& jobs, const std::string& id, call_result_callback done)
