Record the queue of a submission as it was resolved

Cause: the leader checks the call against the configuration in force on arrival, but job_submitted carried only the name of the queue, and its service, priority and attempts were looked up when the command was applied. With a configuration that removes the name before it in the log, the job kept an empty service, which matches no worker.

Change: job_submitted carries the queue as resolved, and the job keeps it. The decision and its inputs are one log entry, so no command in between can change its outcome. The earlier format keeps its position in the variant and is still read. On the same cause, the objective and the cost of delay of a job whose queue is gone use that queue instead of defaults.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -50,14 +50,17 @@
         job.queue = command.queue;
         job.workspace = command.workspace;
         job.acceptedMs = state.timeMs;
-        if (const auto* const queue = findQueue(state.config, command.queue)) {
-            job.service = queue->service;
-            job.priority = queue->priority;
-            job.maxAttempts = queue->maxAttempts;
-        }
         state.jobs.emplace(command.request.id, std::move(job));
     }
 
+    void apply(batch_state& state, const job_submitted_by_name& command)
+    {
+        queue_config unknown;
+        unknown.name = command.queue;
+        const auto* const queue = findQueue(state.config, command.queue);
+        apply(state, job_submitted { command.request, queue != nullptr ? *queue : unknown, command.workspace });
+    }
+
     void apply(batch_state& state, const job_cancelled& command)
     {
         const auto found = state.jobs.find(command.job);
@@ -146,8 +149,7 @@
     {
         if (spec.longRunning)
             return false;
-        const auto* const queue = findQueue(state.config, job.queue);
-        const auto allowed = queue != nullptr ? queue->maxAttempts : job.maxAttempts;
+        const auto allowed = queueOf(state.config, job).maxAttempts;
         return (spec.gang ? step.gangFailures : task.failures) >= allowed;
     }
 
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -90,8 +90,9 @@
 
 template <typename Archive> void visitFields(Archive& archive, job_record& value)
 {
-    visitEach(archive, value.request, value.queue, value.service, value.workspace, value.priority, value.maxAttempts,
-        value.acceptedMs);
+    // The rest of the queue follows the fields of earlier versions of snapshots.
+    visitEach(archive, value.request, value.queue.name, value.queue.service, value.workspace, value.queue.priority,
+        value.queue.maxAttempts, value.acceptedMs);
     chervilport::visitEnumeration(archive, value.phase, job_phase::Cancelled);
     visitEach(archive, value.endedMs, value.hasStarted, value.occurrencesDone, value.occurrences, value.nextOccurrence);
 }
@@ -106,6 +107,11 @@
     visitEach(archive, value.task, value.run);
 }
 
+template <typename Archive> void visitFields(Archive& archive, job_submitted_by_name& value)
+{
+    visitEach(archive, value.request, value.queue, value.workspace);
+}
+
 template <typename Archive> void visitFields(Archive& archive, job_submitted& value)
 {
     visitEach(archive, value.request, value.queue, value.workspace);
@@ -225,6 +231,18 @@
         }
     }
 
+    /// Takes what a snapshot of an earlier version does not hold of the queues of its jobs from the configuration.
+    void completeQueues(batch_state& state)
+    {
+        for (auto& [id, job] : state.jobs) {
+            auto queue = queueOf(state.config, job);
+            queue.service = job.queue.service;
+            queue.priority = job.queue.priority;
+            queue.maxAttempts = job.queue.maxAttempts;
+            job.queue = std::move(queue);
+        }
+    }
+
 } // namespace
 
 template <typename Archive> void visitFields(Archive& archive, batch_state& value)
@@ -237,6 +255,12 @@
         visitEach(archive, value.unstartedJobs);
     if (archive.hasMore())
         visitSpeeds(archive, value.workers);
+    if (!archive.hasMore()) {
+        completeQueues(value);
+        return;
+    }
+    for (auto& [id, job] : value.jobs)
+        visitFields(archive, job.queue);
 }
 
 namespace {
--- a/chervilport/batch/batch_command.h
+++ b/chervilport/batch/batch_command.h
@@ -13,10 +13,20 @@
 
 namespace chervilport::batch {
 
+/// Accepts a job in the format of earlier versions, which looks the queue up when the command is applied. It is read
+/// from their logs and no longer proposed.
+struct job_submitted_by_name {
+    job_request request;
+    /// Name of the queue.
+    std::string queue;
+    std::string workspace;
+};
+
 /// Accepts a job. Idempotent: a job whose id exists stays unchanged.
 struct job_submitted {
     job_request request;
-    std::string queue;
+    /// The queue as the leader resolved it. A later configuration may precede the command in the log.
+    queue_config queue;
     std::string workspace;
 };
 
@@ -111,8 +121,9 @@
 };
 
 /// A command that changes the state. The order of the alternatives is part of the format of the log.
-using batch_command = std::variant<job_submitted, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
-    config_applied, worker_crashed, evacuation_changed, incarnation_ended, worker_speed_observed>;
+using batch_command
+    = std::variant<job_submitted_by_name, job_cancelled, run_assigned, run_ended, worker_reported, worker_ended,
+        config_applied, worker_crashed, evacuation_changed, incarnation_ended, worker_speed_observed, job_submitted>;
 
 /// Commands that are committed together.
 struct command_batch {
--- a/chervilport/batch/batch_state.cpp
+++ b/chervilport/batch/batch_state.cpp
@@ -46,6 +46,12 @@
     return best;
 }
 
+const queue_config& queueOf(const site_config& config, const job_record& job)
+{
+    const auto* const configured = findQueue(config, job.queue.name);
+    return configured != nullptr ? *configured : job.queue;
+}
+
 const workspace_quota* findWorkspaceByKey(const site_config& config, std::string_view key)
 {
     for (const auto& workspace : config.workspaces) {
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -53,6 +53,9 @@
 /// Returns the queue with this host and the longest matching prefix of the path, or null.
 const queue_config* findQueue(const site_config&, std::string_view host, std::string_view path);
 
+/// Returns the queue of a job as configured, or as it accepted the job if the configuration has removed its name.
+const queue_config& queueOf(const site_config&, const job_record&);
+
 /// Returns the workspace that has the key, or null.
 const workspace_quota* findWorkspaceByKey(const site_config&, std::string_view key);
 
--- a/chervilport/batch/delay_cost.cpp
+++ b/chervilport/batch/delay_cost.cpp
@@ -66,14 +66,14 @@
         const occurrence_record* occurrence, double remainingMs)
     {
         delay_cost cost;
-        const auto* const queue = findQueue(state.config, job.queue);
-        const bool isTimed = queue != nullptr && (queue->stretch > 0 || queue->baseObjectiveMs > 0);
+        const auto& queue = queueOf(state.config, job);
+        const bool isTimed = queue.stretch > 0 || queue.baseObjectiveMs > 0;
         cost.objectiveMs = isTimed ? objectiveMs(state, estimates, job) : 0;
         cost.expiryMs = expiryFactor * cost.objectiveMs;
         cost.remainingMs = remainingMs;
         cost.remainingWork = remainingWork(estimates, job, occurrence);
         // Many depend on a large job, so value grows with the work, nearly in proportion: large gangs must not starve.
-        cost.value = priorityValue(job.priority) * std::pow(remainingWork(estimates, job, nullptr), workExponent);
+        cost.value = priorityValue(job.queue.priority) * std::pow(remainingWork(estimates, job, nullptr), workExponent);
         return cost;
     }
 
--- a/chervilport/batch/guaranteed_jobs.cpp
+++ b/chervilport/batch/guaranteed_jobs.cpp
@@ -21,7 +21,7 @@
     // Collect the jobs that count towards a guarantee.
     std::map<std::string, std::vector<const job_record*>> byWorkspace;
     for (const auto& [id, job] : state.jobs) {
-        if (job.phase == job_phase::Active && job.priority == guaranteedPriority
+        if (job.phase == job_phase::Active && job.queue.priority == guaranteedPriority
             && !isExpired(state, estimates, job, nowMs))
             byWorkspace[job.workspace].push_back(&job);
     }
--- a/chervilport/batch/job_record.h
+++ b/chervilport/batch/job_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/job_request.h"
+#include "chervilport/batch/queue_config.h"
 #include "chervilport/batch/worker_record.h"
 
 #include <cstdint>
@@ -62,16 +63,10 @@
 struct job_record {
     /// As submitted.
     job_request request;
-    /// Queue that accepted the job.
-    std::string queue;
-    /// Pool of the queue when the job was accepted.
-    std::string service;
+    /// Queue that accepted the job, as it was configured then.
+    queue_config queue;
     /// Workspace of the submitter; empty on a public queue.
     std::string workspace;
-    /// Priority of the queue when the job was accepted.
-    std::int64_t priority = 0;
-    /// Number of failed runs of a task after which the job fails, as the queue set it when the job was accepted.
-    std::uint32_t maxAttempts = 1;
     /// Time of acceptance, Unix milliseconds.
     std::int64_t acceptedMs = 0;
     /// Current phase.
--- a/chervilport/batch/latency_objective.cpp
+++ b/chervilport/batch/latency_objective.cpp
@@ -4,10 +4,8 @@
 
 double objectiveMs(const batch_state& state, const run_estimates& estimates, const job_record& job)
 {
-    const auto* const queue = findQueue(state.config, job.queue);
-    const auto stretch = queue != nullptr ? queue->stretch : 1.0;
-    const auto base = queue != nullptr ? static_cast<double>(queue->baseObjectiveMs) : 0.0;
-    return stretch * expectedChainMs(estimates, job) + base;
+    const auto& queue = queueOf(state.config, job);
+    return queue.stretch * expectedChainMs(estimates, job) + static_cast<double>(queue.baseObjectiveMs);
 }
 
 bool isExpired(const batch_state& state, const run_estimates& estimates, const job_record& job, std::int64_t nowMs)
--- a/chervilport/batch/pass_order.cpp
+++ b/chervilport/batch/pass_order.cpp
@@ -65,8 +65,8 @@
 void sortForPass(std::vector<ordered_step>& steps)
 {
     const auto key = [](const ordered_step& each) {
-        return std::tuple(
-            !each.isGuaranteed, !each.isOverdueService, -each.urgency, each.step.job->priority, each.step.jobDueMs);
+        return std::tuple(!each.isGuaranteed, !each.isOverdueService, -each.urgency, each.step.job->queue.priority,
+            each.step.jobDueMs);
     };
     std::stable_sort(steps.begin(), steps.end(),
         [&](const ordered_step& left, const ordered_step& right) { return key(left) < key(right); });
--- a/chervilport/batch/pending_jobs.cpp
+++ b/chervilport/batch/pending_jobs.cpp
@@ -55,7 +55,7 @@
 {
     return static_cast<std::size_t>(std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
         const auto& job = entry.second;
-        return job.phase == job_phase::Active && job.request.repeatCount == 0 && job.queue == queue
+        return job.phase == job_phase::Active && job.request.repeatCount == 0 && job.queue.name == queue
             && !hasBegun(state, job, isConfirmed);
     }));
 }
--- a/chervilport/batch/preemption.cpp
+++ b/chervilport/batch/preemption.cpp
@@ -52,7 +52,7 @@
             const auto delay = lost + prices.meanWaitMs;
             loss += delayLoss(cost, startAge, delay) / (spec.gang ? 1.0 : runs);
         }
-        return active.job.priority == guaranteedPriority ? urgentLossWeight * loss : loss;
+        return active.job.queue.priority == guaranteedPriority ? urgentLossWeight * loss : loss;
     }
 
     bool isSameStep(const run_ref& left, const run_ref& right)
@@ -226,7 +226,7 @@
 
 bool isFiller(const job_record& job, const step_spec& spec)
 {
-    return !spec.gang && !spec.longRunning && job.priority > guaranteedPriority;
+    return !spec.gang && !spec.longRunning && job.queue.priority > guaranteedPriority;
 }
 
 std::vector<preemption_victim> listVictims(const batch_state& state, const run_estimates& estimates,
--- a/chervilport/batch/run_estimates.cpp
+++ b/chervilport/batch/run_estimates.cpp
@@ -45,8 +45,8 @@
 
 double expectedRunMs(const run_estimates& estimates, const job_record& job, const step_spec& step)
 {
-    if (isLearnt(estimates, job.queue))
-        return estimates.byQueue.at(job.queue).meanMs;
+    if (isLearnt(estimates, job.queue.name))
+        return estimates.byQueue.at(job.queue.name).meanMs;
     return static_cast<double>(step.estimateMs);
 }
 
--- a/chervilport/batch/scheduling_pass.cpp
+++ b/chervilport/batch/scheduling_pass.cpp
@@ -99,8 +99,7 @@
 
     const std::string& serviceOf(const batch_state& state, const job_record& job)
     {
-        const auto* const queue = findQueue(state.config, job.queue);
-        return queue != nullptr ? queue->service : job.service;
+        return queueOf(state.config, job).service;
     }
 
     bool hasWaited(const pass& current, const ready_step& ready)
@@ -117,7 +116,7 @@
         std::vector<ordered_step> ordered;
         for (auto& each : ready) {
             const bool waits = hasWaited(current, each);
-            each.mayUseUrgentReservation = each.job->priority == guaranteedPriority
+            each.mayUseUrgentReservation = each.job->queue.priority == guaranteedPriority
                 || (waits && current.idleServices.contains(serviceOf(current.state, *each.job)))
                 || (current.bounds.maxStopMs <= maxFillerStopMs && specOf(each).checkpointing
                     && isFiller(*each.job, specOf(each)));
@@ -286,7 +285,8 @@
         // A long-running task keeps the worker for good, so it takes a reserved one only if there is no other.
         if (ordered.isOverdueService && !anyFits(current, each, service))
             each.mayUseUrgentReservation = true;
-        const bool isUrgent = each.job->priority == guaranteedPriority && ordered.status == objective_status::OnTime;
+        const bool isUrgent
+            = each.job->queue.priority == guaranteedPriority && ordered.status == objective_status::OnTime;
         const bool mayPreempt = (isGuaranteed || isUrgent) && !each.needsEmptyWorker;
         const bool mayReserve = !isGuaranteed && specOf(each).gang && ordered.status != objective_status::Expired;
         if (!mayPreempt && isUnplaceable(unplaceable, each, service)) {
--- a/chervilport/batch/step_placement.cpp
+++ b/chervilport/batch/step_placement.cpp
@@ -25,7 +25,7 @@
         constexpr std::int32_t ranksPerClass = 2;
         constexpr std::int32_t unknownRank = -1;
         const auto rank = slot.isSpeedKnown ? ranksPerClass * slot.speedClass : 0;
-        if (ready.job->priority == guaranteedPriority)
+        if (ready.job->queue.priority == guaranteedPriority)
             return rank;
         if (specOf(ready).gang)
             return std::max(rank, 0);
--- a/chervilport/batch/urgent_reservation.cpp
+++ b/chervilport/batch/urgent_reservation.cpp
@@ -117,7 +117,7 @@
     const auto capacity = meanCapacity(slots, service);
     double sum = 0;
     for (const auto& [id, job] : state.jobs) {
-        const bool isUrgent = job.priority == guaranteedPriority && job.service == service;
+        const bool isUrgent = job.queue.priority == guaranteedPriority && job.queue.service == service;
         if (job.phase != job_phase::Active || !isUrgent || job.request.repeatCount > 0)
             continue;
         for (std::size_t i = 0; i < job.request.steps.size(); ++i)
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -33,9 +33,9 @@
             return;
         }
         logEvent("job_accepted",
-            { { "job", id }, { "outcome", "committed" }, { "queue", job->queue }, { "service", job->service },
-                { "priority", job->priority }, { "max_attempts", job->maxAttempts },
-                { "config_version", state.config.version } });
+            { { "job", id }, { "outcome", "committed" }, { "queue", job->queue.name },
+                { "service", job->queue.service }, { "priority", job->queue.priority },
+                { "max_attempts", job->queue.maxAttempts }, { "config_version", state.config.version } });
     }
 
     std::size_t countWorkers(const batch::batch_state& state, const std::string& failureDomain)
@@ -75,7 +75,7 @@
             { "accelerators", request.steps.front().demand.accelerators },
             { "config_version", jobs.state().config.version } });
     auto id = request.id;
-    jobs.propose(batch::job_submitted { std::move(request), resolved.queue->name, resolved.workspace },
+    jobs.propose(batch::job_submitted { std::move(request), *resolved.queue, resolved.workspace },
         [&jobs, id = std::move(id), done = std::move(done)](proposal_result result) {
             const bool committed = result == proposal_result::Committed;
             logAcceptedJob(jobs.state(), id, committed);
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -128,10 +128,11 @@
 void batch_controller::observeStart(const batch::run_assigned& assigned)
 {
     const auto& job = m_state.jobs.at(assigned.run.task.job);
-    m_metrics->increment("chervilport_runs_started_total", { { "queue", job.queue } });
+    m_metrics->increment("chervilport_runs_started_total", { { "queue", job.queue.name } });
     const bool first = job.activeRuns == 1 && assigned.run.run == 1 && assigned.run.task.step == 0;
     if (first)
-        m_metrics->observe("chervilport_queue_wait_seconds", { { "queue", job.queue }, { "workspace", job.workspace } },
+        m_metrics->observe("chervilport_queue_wait_seconds",
+            { { "queue", job.queue.name }, { "workspace", job.workspace } },
             static_cast<double>(m_state.timeMs - batch::dueMs(job, assigned.run.task.occurrence)) / msPerSecond);
 }
 
@@ -307,7 +308,7 @@
     const auto& spec = job->request.steps[sample.task.step];
     if (spec.longRunning || (!spec.dataRack.empty() && spec.dataRack != worker->report.rack))
         return;
-    sample.queue = job->queue;
+    sample.queue = job->queue.name;
     auto& speeds = m_schedulerState.speeds;
     batch::recordPace(speeds, sample);
     if (const auto slowness = batch::takeChangedSlowness(speeds, sample.worker))
--- a/chervilport/control/batch_log.cpp
+++ b/chervilport/control/batch_log.cpp
@@ -120,9 +120,9 @@
         if (job == nullptr || job->phase == batch::job_phase::Active || job->endedMs != state.timeMs)
             continue;
         logEvent("job_ended",
-            { { "job", id }, { "queue", job->queue }, { "phase", batch::nameOf(job->phase) },
+            { { "job", id }, { "queue", job->queue.name }, { "phase", batch::nameOf(job->phase) },
                 { "age_ms", job->endedMs - job->acceptedMs } });
-        metrics.observe("chervilport_job_seconds", { { "queue", job->queue }, { "workspace", job->workspace } },
+        metrics.observe("chervilport_job_seconds", { { "queue", job->queue.name }, { "workspace", job->workspace } },
             static_cast<double>(job->endedMs - job->acceptedMs) / msPerSecond);
     }
 }
--- a/chervilport/control/lost_work.cpp
+++ b/chervilport/control/lost_work.cpp
@@ -31,7 +31,7 @@
     const auto lostMs = spec.checkpointing ? std::min(elapsedMs, checkpointIntervalMs) : elapsedMs;
     const auto lost = std::llround(batch::coreSeconds(spec, static_cast<double>(lostMs)));
     metrics.increment("chervilport_core_seconds_lost_total",
-        { { "cause", std::string(nameOf(cause)) }, { "queue", job->queue } }, static_cast<std::uint64_t>(lost));
+        { { "cause", std::string(nameOf(cause)) }, { "queue", job->queue.name } }, static_cast<std::uint64_t>(lost));
 }
 
 void countLostWork(const batch::batch_state& state, const batch::command_batch& batch,
--- a/chervilport/control/run_times.cpp
+++ b/chervilport/control/run_times.cpp
@@ -18,7 +18,7 @@
             continue;
         const auto& job = state.jobs.at(ended->run.task.job);
         const auto startedMs = batch::findTask(state, ended->run.task)->startedMs;
-        batch::recordRunTime(estimates, job.queue, batch.timeMs - startedMs);
+        batch::recordRunTime(estimates, job.queue.name, batch.timeMs - startedMs);
     }
 }
 
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -258,3 +258,24 @@
     fixture.run();
     cr_assert_eq(fixture.jobs->countPendingJobs("q"), 0);
 }
+
+// Guards against an accepted job that never starts: it was checked against a configuration that another one, which
+// gives its queue another name, replaced before the job was recorded.
+Test(batchCalls, jobSubmittedWhileItsQueueIsRenamedIsStarted)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+    auto renamed = configOf(2);
+    renamed.queues.front().name = "renamed";
+    const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+    applyConfig(*fixture.jobs, renamed, fixture.recordResult());
+    submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Applied);
+    cr_assert_eq(fixture.jobs->state().config.version, 2);
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+}
