Count the waiting jobs of a queue that got another name

Callers would see: after a configuration gives their queue another name, GET of its prefix says that no job waits, while jobs accepted before wait.

Change: a job belongs to the queue with its name or with its host and path prefix, which are all that a caller knows of a queue.

--- a/chervilport/batch/pending_jobs.cpp
+++ b/chervilport/batch/pending_jobs.cpp
@@ -29,6 +29,14 @@
         });
     }
 
+    /// Returns whether callers of the queue see the job as one of its own. They know a queue by host and path only, so
+    /// a queue that gets another name keeps its jobs.
+    bool belongsTo(const job_record& job, const queue_config& queue)
+    {
+        const bool hasSameAddress = job.queue.host == queue.host && job.queue.pathPrefix == queue.pathPrefix;
+        return hasSameAddress || job.queue.name == queue.name;
+    }
+
     bool hasBegun(const batch_state& state, const job_record& job, const run_confirmation& isConfirmed)
     {
         if (!job.hasStarted)
@@ -51,11 +59,11 @@
         ++state.unstartedJobs[job.request.id];
 }
 
-std::size_t countPendingJobs(const batch_state& state, std::string_view queue, const run_confirmation& isConfirmed)
+std::size_t countPendingJobs(const batch_state& state, const queue_config& queue, const run_confirmation& isConfirmed)
 {
     return static_cast<std::size_t>(std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
         const auto& job = entry.second;
-        return job.phase == job_phase::Active && job.request.repeatCount == 0 && job.queue.name == queue
+        return job.phase == job_phase::Active && job.request.repeatCount == 0 && belongsTo(job, queue)
             && !hasBegun(state, job, isConfirmed);
     }));
 }
--- a/chervilport/batch/pending_jobs.h
+++ b/chervilport/batch/pending_jobs.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <string_view>
 
 namespace chervilport::batch {
 
@@ -19,6 +18,6 @@
 /// Returns the number of accepted jobs of a queue without due times of which no task is known to have started. A job
 /// whose first runs are assigned and not confirmed by their workers counts, since they may never start, and so does one
 /// whose runs have all ended without a confirmation.
-std::size_t countPendingJobs(const batch_state&, std::string_view queue, const run_confirmation&);
+std::size_t countPendingJobs(const batch_state&, const queue_config&, const run_confirmation&);
 
 } // namespace chervilport::batch
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -142,7 +142,7 @@
     figures.isLeader = m_leading;
     figures.term = m_term;
     for (const auto& queue : m_state.config.queues)
-        figures.pendingJobs[queue.name] = countPendingJobs(queue.name);
+        figures.pendingJobs[queue.name] = countPendingJobs(queue);
     for (const auto& [number, condition] : conditions())
         figures.usableWorkers += condition.isUsable ? 1 : 0;
     setGauges(figures, *m_metrics);
@@ -266,7 +266,7 @@
     return worker.report.draining && (session == m_sessions.end() || session->second->canHaveDrained(monotonicNow()));
 }
 
-std::size_t batch_controller::countPendingJobs(std::string_view queue) const
+std::size_t batch_controller::countPendingJobs(const batch::queue_config& queue) const
 {
     return batch::countPendingJobs(m_state, queue, [this](batch::worker_number worker, const batch::run_ref& run) {
         const auto session = m_sessions.find(worker);
--- a/chervilport/control/batch_controller.h
+++ b/chervilport/control/batch_controller.h
@@ -79,7 +79,7 @@
     void proposeReport(batch::worker_report, command_queue::callback);
 
     /// Returns the number of accepted jobs of a queue of which no task is known to have started; leader only.
-    std::size_t countPendingJobs(std::string_view queue) const;
+    std::size_t countPendingJobs(const batch::queue_config&) const;
 
     /// Returns whether a worker can have left as planned: its recorded incarnation drains, and for as long as it said
     /// at least. Leader only.
--- a/tests/batch/pending_jobs_test.cpp
+++ b/tests/batch/pending_jobs_test.cpp
@@ -11,7 +11,8 @@
 
 std::size_t countPending(const fake_site& site, bool areConfirmed = false)
 {
-    return countPendingJobs(site.state(), normalQueue, [=](worker_number, const run_ref&) { return areConfirmed; });
+    return countPendingJobs(site.state(), *findQueue(site.state().config, normalQueue),
+        [=](worker_number, const run_ref&) { return areConfirmed; });
 }
 
 } // namespace
@@ -39,6 +40,22 @@
     cr_assert_eq(countPending(site), 0);
 }
 
+// Guards against a caller who is told that none of its jobs waits, because the configuration has given their queue
+// another name.
+Test(pendingJobs, jobsOfARenamedQueueArePending)
+{
+    fake_site site;
+    site.submit(normalQueue, { stepOf(1, 1) });
+    site.submit(urgentQueue, { stepOf(1, 1) });
+    auto config = site.state().config;
+    ++config.version;
+    config.queues[1].name = "renamed";
+    site.apply(config_applied { config });
+    const auto count = countPendingJobs(
+        site.state(), *findQueue(site.state().config, "renamed"), [](worker_number, const run_ref&) { return false; });
+    cr_assert_eq(count, 1);
+}
+
 // Guards against a job that counts as pending after a task of it has begun on a worker that was lost since.
 Test(pendingJobs, jobWithALostRunIsNotPending)
 {
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -252,11 +252,11 @@
     submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
     fixture.run();
     cr_assert_eq(fixture.worker.starts.size(), 1);
-    cr_assert_eq(fixture.jobs->countPendingJobs("q"), 1);
+    cr_assert_eq(fixture.jobs->countPendingJobs(fixture.jobs->state().config.queues.front()), 1);
     fixture.worker.running = { { fixture.worker.starts.front().run, "", 0 } };
     fixture.worker.heldPoll();
     fixture.run();
-    cr_assert_eq(fixture.jobs->countPendingJobs("q"), 0);
+    cr_assert_eq(fixture.jobs->countPendingJobs(fixture.jobs->state().config.queues.front()), 0);
 }
 
 // Guards against an accepted job that never starts: it was checked against a configuration that another one, which
