Withhold starts from a worker that is back as another kind

Callers would see: a task runs on an executor of another service, or without the label that it requires. A worker that starts again under its id keeps its number; if its report as another kind precedes the assignment in the log, or the start is sent again later, it got the run.

Change: findStartObstacle names why a run may not be started, in one place, and asks for service and label as well. The log line keeps its fields and has the reason unsuitable.

--- a/chervilport/batch/worker_slot.cpp
+++ b/chervilport/batch/worker_slot.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <string_view>
 #include <utility>
 
 namespace chervilport::batch {
@@ -58,13 +57,16 @@
     return ready.needsEmptyWorker && slot.runs > 0;
 }
 
+bool isSuitable(const worker_report& report, std::string_view service, const step_spec& spec)
+{
+    return report.service == service && (spec.requiredLabel.empty() || hasLabel(report, spec.requiredLabel));
+}
+
 bool isEligible(const worker_slot& slot, const ready_step& ready, const std::string& service)
 {
-    const auto& report = slot.worker->report;
-    const auto& spec = specOf(ready);
     if (slot.reservedForUrgent && !ready.mayUseUrgentReservation)
         return false;
-    return report.service == service && (spec.requiredLabel.empty() || hasLabel(report, spec.requiredLabel));
+    return isSuitable(slot.worker->report, service, specOf(ready));
 }
 
 } // namespace chervilport::batch
--- a/chervilport/batch/worker_slot.h
+++ b/chervilport/batch/worker_slot.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilport::batch {
@@ -59,6 +60,9 @@
 /// Returns whether the worker is reserved for another job than that of the step, or may not be shared with it.
 bool isReservedForOther(const worker_slot&, const ready_step&);
 
+/// Returns whether a worker belongs to the service and has the label that the step requires.
+bool isSuitable(const worker_report&, std::string_view service, const step_spec&);
+
 /// Returns whether a step may run on a worker, regardless of its free capacity and of reservations for single jobs.
 bool isEligible(const worker_slot&, const ready_step&, const std::string& service);
 
--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -48,12 +48,11 @@
         log_level::Warning);
 }
 
-void logStartWithheld(const batch::run_ref& run, const batch::worker_record& worker)
+void logStartWithheld(const batch::run_ref& run, const batch::worker_record& worker, batch::start_obstacle obstacle)
 {
-    const char* const other = batch::isOvercommitted(worker) ? "overcommitted" : "evacuated";
     logEvent("run_start_withheld",
         { { "run", describe(run) }, { "worker", worker.report.id }, { "domain", worker.report.failureDomain },
-            { "reason", worker.report.draining ? "draining" : other } });
+            { "reason", batch::nameOf(obstacle) } });
 }
 
 void logRunRequest(std::string_view event, const batch::run_ref& run, std::string_view worker,
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilport/batch/batch_command.h"
+#include "chervilport/batch/start_obstacle.h"
 #include "chervilport/batch/worker_record.h"
 #include "chervilport/control/run_tracker.h"
 #include "chervilport/control/worker_client.h"
@@ -36,8 +37,8 @@
 /// A poll failed for the first time since the last response.
 void logWorkerUnreachable(std::string_view worker, const worker_result&, std::size_t runs);
 
-/// A run was not started because its worker takes no new runs.
-void logStartWithheld(const batch::run_ref&, const batch::worker_record&);
+/// A run was not started because its worker takes no new runs, or none of this step.
+void logStartWithheld(const batch::run_ref&, const batch::worker_record&, batch::start_obstacle);
 
 /// A request about a run has completed, with or without a response.
 void logRunRequest(
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chervilport/batch/start_obstacle.h"
 #include "chervilport/batch/worker_record.h"
 #include "chervilport/control/end_acknowledgement.h"
 #include "chervilport/control/run_tracker.h"
@@ -92,7 +93,7 @@
     void reconcileMissing(const poll_response&, log_time sentAt);
     void endExpiredRuns();
     void sendStart(run_tracker&);
-    void withholdStart(run_tracker&, const batch::worker_record&);
+    void withholdStart(run_tracker&, const batch::worker_record&, batch::start_obstacle);
     void abandonStart(run_tracker&);
     void handleStart(const batch::run_ref&, const worker_result&, std::int64_t incarnation, std::uint64_t fencingToken);
     void retryOrAbandon(run_tracker&, const worker_result&);
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -41,11 +41,10 @@
         || tracker.phase == start_phase::InFlight || tracker.phase == start_phase::Confirmed || tracker.endProposed)
         return;
     const auto* const worker = record();
-    // The worker may have shrunk since the run was assigned, and a start would bring it over its capacity.
-    const bool mayStart
-        = worker == nullptr || (batch::acceptsRuns(m_host.state(), *worker) && !batch::isOvercommitted(*worker));
-    if (!mayStart) {
-        withholdStart(tracker, *worker);
+    const auto obstacle = worker == nullptr ? batch::start_obstacle::None
+                                            : batch::findStartObstacle(m_host.state(), *worker, *job, tracker.run.task);
+    if (obstacle != batch::start_obstacle::None) {
+        withholdStart(tracker, *worker, obstacle);
         return;
     }
     // The acknowledgement of an earlier incarnation must not discard the end of this run.
@@ -72,9 +71,10 @@
         });
 }
 
-void worker_session::withholdStart(run_tracker& tracker, const batch::worker_record& worker)
+void worker_session::withholdStart(
+    run_tracker& tracker, const batch::worker_record& worker, batch::start_obstacle obstacle)
 {
-    logStartWithheld(tracker.run, worker);
+    logStartWithheld(tracker.run, worker, obstacle);
     if (tracker.mayHaveArrived)
         abandonStart(tracker);
     else
--- a/tests/control/worker_session_test.cpp
+++ b/tests/control/worker_session_test.cpp
@@ -276,3 +276,37 @@
     cr_assert(fixture.ends().front() == batch::run_end_kind::NotStarted);
     cr_assert_eq(fixture.state.workers.at(fixture.number).activeRuns, 0);
 }
+
+// Guards against a start on a worker that may not run the step: it started again under its id as another kind, and the
+// assignment, planned for its former kind, follows its report in the log.
+Test(workerSession, startOnAWorkerThatReturnsAsAnotherKindIsWithheld)
+{
+    for (const bool hasOtherService : { false, true }) {
+        session_fixture fixture;
+        batch::job_request request;
+        request.id = "labelled";
+        request.steps = { {} };
+        request.steps.front().requiredLabel = "large";
+        auto report = fixture.state.workers.at(fixture.number).report;
+        report.labels = { "large" };
+        ++report.sequence;
+        fixture.apply(batch::worker_reported { report });
+        fixture.apply(batch::job_submitted { request, fixture.state.config.queues.front(), "main" });
+        const auto session = fixture.makeSession();
+        session->open();
+        fixture.runReady();
+        const batch::run_ref run { { "labelled", 0, 0, 0 }, 1 };
+        ++report.incarnation;
+        if (hasOtherService)
+            report.service = "other";
+        else
+            report.labels = { "small" };
+        fixture.apply(batch::worker_reported { report });
+        fixture.apply(batch::run_assigned { run, fixture.number });
+        session->startRun(run);
+        fixture.runReady();
+        cr_assert(fixture.worker.starts.empty());
+        cr_assert_eq(fixture.ends().size(), 1);
+        cr_assert(fixture.ends().front() == batch::run_end_kind::NotStarted);
+    }
+}
