--- a/tests/platform/damaged_messages_test.cpp
+++ b/tests/platform/damaged_messages_test.cpp
@@ -140,8 +140,8 @@
 Test(damagedMessages, heartbeatWithoutADocumentedFieldIsRefused)
 {
     const auto good = goldenDocument("heartbeat.json");
-    for (const auto* const key :
-        { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "capacity", "labels", "seq" }) {
+    for (const auto* const key : { "service", "address", "zone", "version", "slots", "state", "cold_left_ms",
+             "capacity", "labels", "clock_ms", "seq" }) {
         auto damaged = good;
         damaged.erase(key);
         cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s is missing", key);
@@ -155,6 +155,19 @@
     }
 }
 
+// Guards against a heartbeat of another writer that takes an executor in use for replaced, so that its tasks run twice:
+// a number of it is a text.
+Test(damagedMessages, heartbeatWithATextForANumberIsRefused)
+{
+    const auto good = goldenDocument("heartbeat.json");
+    for (const auto* const place : { "/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu", "/seq", "/born", "/slots",
+             "/cold_left_ms", "/drain_remaining_ms", "/clock_ms" }) {
+        auto damaged = good;
+        damaged[json::json_pointer(place)] = "482113";
+        cr_assert_throw(readHeartbeat("i", damaged.dump()), chervilport_error, "%s", place);
+    }
+}
+
 // Guards against a heartbeat with a number out of range, such as a port, that is stored and stops the members that read
 // it, or whose sums overflow.
 Test(damagedMessages, heartbeatWithANumberOutOfRangeIsRefused)
@@ -170,7 +183,7 @@
         std::numeric_limits<std::uint64_t>::max() };
     for (const auto& number : numbers) {
         for (const auto* const place : { "/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu", "/seq", "/born",
-                 "/slots", "/cold_left_ms", "/drain_remaining_ms" }) {
+                 "/slots", "/cold_left_ms", "/drain_remaining_ms", "/clock_ms" }) {
             auto damaged = good;
             damaged[json::json_pointer(place)] = number;
             cr_assert_throw(
