Refuse calls between instances that arrive after their deadline

A cut held up a relayed evacuation for 5.5 s; it reached the leader after the withdrawal had been acknowledged, and evacuated the zone again.

Cause: a call carries the time that is left, and the receiver counts it anew from the arrival.

Change: hello and each reply carry the receiver's clock, each call the time of its sending on that clock. A call that was on its way for longer than its deadline is refused as not run, logged (call_refused_late) and counted. The schema only gains fields; calls without the time are taken as before.

--- a/chervilport/control/control_node.cpp
+++ b/chervilport/control/control_node.cpp
@@ -274,6 +274,7 @@
     metrics.set(
         "chervilport_instance_connections", { { "place", "shared" } }, static_cast<double>(connections.openShared));
     metrics.set("chervilport_instance_connections_refused", {}, static_cast<double>(connections.refusals));
+    metrics.set("chervilport_instance_calls_late", {}, static_cast<double>(connections.lateForwards));
     metrics.set(
         "chervilport_reports", { { "state", "in_progress" } }, static_cast<double>(m_reports.inProgress.size()));
     metrics.set("chervilport_reports", { { "state", "waiting" } }, static_cast<double>(m_reports.waiting.size()));
--- a/chervilport/instance/peer_network.cpp
+++ b/chervilport/instance/peer_network.cpp
@@ -124,6 +124,12 @@
     callbacks.onForward = [&self](member_id, const forward_call& call, const forward_responder& respond) {
         asio::post(self.context, [&self, call, respond] { self.hooks.serve(toControlCall(call, respond)); });
     };
+    callbacks.onLateForward = [](member_id peer, const forward_call& call, std::chrono::milliseconds onTheWay) {
+        logEvent("call_refused_late",
+            { { "request", call.method + ' ' + call.path }, { "from", static_cast<std::uint64_t>(peer) },
+                { "on_the_way_ms", onTheWay.count() }, { "deadline_ms", call.remaining.count() } },
+            log_level::Warning);
+    };
     callbacks.onConnected = [&self](member_id peer, std::uint64_t) { self.reportConnection(peer, true); };
     callbacks.onDisconnected = [&self](member_id peer) { self.reportConnection(peer, false); };
     if (const auto& hasReservedPlace = self.hooks.hasReservedPlace)
--- a/chervilport/transport/detail/accepted_connection.cpp
+++ b/chervilport/transport/detail/accepted_connection.cpp
@@ -3,6 +3,7 @@
 #include "chervilport/core/chervilport_error.h"
 #include "chervilport/transport/detail/call_budget.h"
 #include "chervilport/transport/detail/kj_error.h"
+#include "chervilport/transport/detail/peer_clock.h"
 #include "chervilport/transport/detail/wire_codec.h"
 
 #include <kj/debug.h>
@@ -76,7 +77,9 @@
             return connectionOf(m_connection)
                 .forward(context.getParams().getCall())
                 .then([context](std::unique_ptr<forward_reply>&& reply) mutable {
-                    writeReply(context.getResults().initReply(), *reply);
+                    auto builder = context.getResults().initReply();
+                    writeReply(builder, *reply);
+                    builder.setClockMs(readOwnClock(peer_clock::clock::now()));
                 });
         }
 
@@ -186,6 +189,7 @@
     accepted.setSession(kj::heap<session_server>(m_self));
     accepted.setInstanceId(static_cast<std::uint64_t>(m_context.identity.instance));
     accepted.setIncarnation(m_context.identity.incarnation);
+    accepted.setClockMs(readOwnClock(peer_clock::clock::now()));
 }
 
 bool accepted_connection::takePlace(member_id peer)
@@ -289,6 +293,17 @@
         rejectMalformed(error.getDescription().cStr());
     }
 
+    // A call that the network has held up past its deadline is refused: its sender has given it up, and its caller may
+    // have sent another one since that it would undo. A sender that still waits learns the clock and sends it again.
+    const auto onTheWay = timeOnTheWay(reader.getSentMs(), peer_clock::clock::now());
+    if (onTheWay >= call.remaining) {
+        m_context.counters.update([](transport_counters& counters) { ++counters.lateForwards; });
+        if (m_context.callbacks.onLateForward)
+            m_context.callbacks.onLateForward(*m_peer, call, onTheWay);
+        return refusal("the call arrived after its deadline");
+    }
+    call.remaining -= onTheWay;
+
     // Pass the call to the user and wait for the reply.
     auto pending = m_server.m_replies.add();
     ++m_pendingForwards;
--- a/chervilport/transport/detail/peer_link.cpp
+++ b/chervilport/transport/detail/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "chervilport/transport/detail/ip_address.h"
 #include "chervilport/transport/detail/kj_error.h"
 #include "chervilport/transport/detail/packed_stream.h"
+#include "chervilport/transport/detail/peer_clock.h"
 #include "chervilport/transport/detail/wire_codec.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -73,6 +74,9 @@
     /// The peer's session; set once the peer has accepted this instance.
     kj::Maybe<wire::Session::Client> session;
 
+    /// Clock of the peer, as its replies show it.
+    peer_clock peerClock;
+
     /// Adds a task that is cancelled when the connection is destroyed.
     void addCall(kj::Promise<void> call) { m_calls.add(kj::mv(call)); }
 
@@ -166,6 +170,7 @@
         requireOrFail(m_context->recordIncarnation(m_address.id, accepted.getIncarnation()),
             "an older incarnation of the peer listens on this address");
         m_connection->session = accepted.getSession();
+        recordReading(m_connection->peerClock, accepted.getClockMs(), clock::now());
         handleEstablished(accepted.getIncarnation());
     });
 }
@@ -349,10 +354,13 @@
         auto request = session->forwardRequest();
         auto builder = request.initCall();
         writeCall(builder, call);
-        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
+        const auto now = clock::now();
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
         builder.setDeadlineMs(static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)));
+        builder.setSentMs(estimateTime(m_connection->peerClock, now));
         m_connection->addCall(request.send().then(
             [this, id, callback](capnp::Response<wire::Session::ForwardResults>&& response) {
+                recordReading(m_connection->peerClock, response.getReply().getClockMs(), clock::now());
                 auto reply = readReply(response.getReply());
                 if (!remove(id))
                     return;
--- a/chervilport/transport/schema/peer.capnp
+++ b/chervilport/transport/schema/peer.capnp
@@ -109,6 +109,8 @@
   headers @2 :List(Header);
   body @3 :Data;
   deadlineMs @4 :UInt64;
+  # When the call was sent, on the clock of the receiver; 0 if the sender does not know that clock.
+  sentMs @5 :UInt64;
 }
 
 struct CallReply {
@@ -121,6 +123,8 @@
     # The call was not run and will not be run.
     refused @3 :Text;
   }
+  # Clock of the instance that replies.
+  clockMs @4 :UInt64;
 }
 
 struct Hello {
@@ -146,6 +150,8 @@
       session @1 :Session;
       instanceId @2 :UInt64;
       incarnation @3 :UInt64;
+      # Clock of the accepting instance.
+      clockMs @4 :UInt64;
     }
   }
 }
--- a/chervilport/transport/transport_callbacks.h
+++ b/chervilport/transport/transport_callbacks.h
@@ -17,6 +17,8 @@
     std::function<void(member_id peer, envelope)> onDeliver;
     /// A peer forwarded a call. Without this callback every call is refused with outcome `NotRun`.
     std::function<void(member_id peer, forward_call, forward_responder)> onForward;
+    /// A call of a peer was refused because it arrived after its deadline, which `remaining` gives from its sending.
+    std::function<void(member_id peer, const forward_call&, std::chrono::milliseconds onTheWay)> onLateForward;
     /// The outgoing connection to this incarnation of a peer is established.
     std::function<void(member_id peer, std::uint64_t incarnation)> onConnected;
     /// The outgoing connection to a peer is lost.
--- a/chervilport/transport/transport_counters.h
+++ b/chervilport/transport/transport_counters.h
@@ -47,6 +47,8 @@
     std::uint64_t refusals = 0;
     /// Connections ended because of a malformed message.
     std::uint64_t malformed = 0;
+    /// Forwarded calls refused because they arrived after their deadline.
+    std::uint64_t lateForwards = 0;
 };
 
 } // namespace chervilport
--- a/tests/transport/forward_test.cpp
+++ b/tests/transport/forward_test.cpp
@@ -111,6 +111,25 @@
     cr_assert_eq(std::get<forward_response>(pair.caller.results.back()).body, "of b");
 }
 
+// Guards against a call that runs seconds after its sender gave it up, and undoes a later one: the network held it up.
+Test(forward, call_held_up_past_its_deadline_is_not_run)
+{
+    forward_pair pair;
+    const auto late = std::chrono::milliseconds(200);
+    std::size_t attempts = 0;
+    do {
+        pair.relay->setHoldBytes(true);
+        pair.caller.forward(1, "/late", late);
+        pair.waitResults(++attempts);
+    } while (failureOf(pair.caller, attempts - 1).outcome == run_outcome::NotRun);
+    std::this_thread::sleep_for(late);
+    pair.relay->setHoldBytes(false);
+    pair.caller.forward(1, "/after", longTimeout);
+    pair.server.wait([&] { return !pair.server.calls.empty() && pair.server.calls.back().path == "/after"; });
+    cr_assert_eq(pair.server.calls.size(), 1);
+    cr_assert_eq(pair.server.transport.counters().lateForwards, 1);
+}
+
 // Guards against outcome Unknown after a refusal, and against a caller that waits for a destroyed responder.
 Test(forward, refusal_is_not_run_and_dropped_responder_is_unknown)
 {
--- a/tests/transport/tcp_relay.cpp
+++ b/tests/transport/tcp_relay.cpp
@@ -99,6 +99,8 @@
 
 bool tcp_relay::pump(int from, int to, pair& each) const
 {
+    if (m_holdsBytes)
+        return true;
     char buffer[65536];
     const auto count = ::recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
     if (count < 0)
--- a/tests/transport/tcp_relay.h
+++ b/tests/transport/tcp_relay.h
@@ -7,8 +7,8 @@
 
 namespace chervilport {
 
-/// Simulates the network between two instances: forwards the bytes of loopback connections, and can drop them without
-/// closing the connections, or reset the connections.
+/// Simulates the network between two instances: forwards the bytes of loopback connections, and can hold them back,
+/// drop them without closing the connections, or reset the connections.
 class tcp_relay {
 public:
     /// Listens on a free port and forwards connections to the given port.
@@ -27,6 +27,9 @@
     /// ones again.
     void setDropBytes(bool dropBytes) { m_dropsBytes = dropBytes; }
 
+    /// With true, holds all bytes back; with false, delivers them.
+    void setHoldBytes(bool holdBytes) { m_holdsBytes = holdBytes; }
+
     /// Resets all connections.
     void resetAll() { m_resetAll = true; }
 
@@ -47,6 +50,7 @@
     int m_listener = -1;
     std::vector<pair> m_pairs;
     std::atomic<bool> m_dropsBytes = false;
+    std::atomic<bool> m_holdsBytes = false;
     std::atomic<bool> m_resetAll = false;
     std::atomic<bool> m_stop = false;
     std::thread m_thread;
