Keep the cancellation of a job that is not recorded yet

A frozen entry instance relays the submissions of clients that have left and have cancelled their jobs elsewhere, where they were told 410.

A client without an answer has no other way to make sure that its job does not run, so the case holds.

Cause: the leader kept nothing of a DELETE for an unknown id. The same happened to a submission that was proposed and not committed yet.

Change: the cancellation is committed before it is answered, and kept as long as ended jobs are; a later submission of the id is recorded as cancelled.

--- a/chervilport/batch/batch_apply.cpp
+++ b/chervilport/batch/batch_apply.cpp
@@ -16,6 +16,7 @@
     /// Age of a run of a long-running task from which a crash of its worker no longer counts, in milliseconds.
     constexpr std::int64_t longRunningSuspicionMs = 60'000;
 
+    /// Drops the jobs, and the cancelled ids without a job, that are no longer retained.
     void dropExpiredJobs(batch_state& state)
     {
         std::erase_if(state.jobs, [&](const auto& entry) {
@@ -23,6 +24,8 @@
             return job.phase != job_phase::Active && job.activeRuns == 0
                 && job.endedMs + endedJobRetentionMs < state.timeMs;
         });
+        std::erase_if(
+            state.cancelledIds, [&](const auto& entry) { return entry.second + endedJobRetentionMs < state.timeMs; });
     }
 
     void dropProgressIfIdle(job_record& job)
@@ -50,7 +53,9 @@
         job.queue = command.queue;
         job.workspace = command.workspace;
         job.acceptedMs = state.timeMs;
-        state.jobs.emplace(command.request.id, std::move(job));
+        const auto added = state.jobs.emplace(command.request.id, std::move(job)).first;
+        if (state.cancelledIds.erase(command.request.id) > 0)
+            endJob(state, added->second, job_phase::Cancelled);
     }
 
     void apply(batch_state& state, const job_submitted_by_name& command)
@@ -63,8 +68,11 @@
 
     void apply(batch_state& state, const job_cancelled& command)
     {
+        dropExpiredJobs(state);
         const auto found = state.jobs.find(command.job);
-        if (found != state.jobs.end() && found->second.phase == job_phase::Active)
+        if (found == state.jobs.end())
+            state.cancelledIds.insert_or_assign(command.job, state.timeMs);
+        else if (found->second.phase == job_phase::Active)
             endJob(state, found->second, job_phase::Cancelled);
     }
 
--- a/chervilport/batch/batch_codec.cpp
+++ b/chervilport/batch/batch_codec.cpp
@@ -261,6 +261,7 @@
     }
     for (auto& [id, job] : value.jobs)
         visitFields(archive, job.queue);
+    visitEach(archive, value.cancelledIds);
 }
 
 namespace {
--- a/chervilport/batch/batch_state.h
+++ b/chervilport/batch/batch_state.h
@@ -31,6 +31,9 @@
     crash_history crashes;
     /// Failure domains whose workers get no new runs, with the time since when, Unix milliseconds.
     std::map<std::string, std::int64_t> evacuatedDomains;
+    /// Ids without a job that were cancelled, with the time when, Unix milliseconds. A submission that arrives later is
+    /// recorded as cancelled.
+    std::map<std::string, std::int64_t> cancelledIds;
     /// Active jobs of which runs have ended, all of them as `NotStarted`, with the number of these runs.
     std::map<std::string, std::int64_t> unstartedJobs;
 };
--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -12,18 +12,6 @@
 
 namespace {
 
-    /// Proposes a command, logs its outcome and reports it to the caller.
-    void proposeLogged(batch_controller& jobs, batch::batch_command command, const char* event, std::string subject,
-        call_result_callback done)
-    {
-        jobs.propose(
-            std::move(command), [event, subject = std::move(subject), done = std::move(done)](proposal_result result) {
-                const bool committed = result == proposal_result::Committed;
-                logEvent(event, { { "job", subject }, { "outcome", committed ? "committed" : "unknown" } });
-                done(committed ? call_result::Applied : call_result::Unknown);
-            });
-    }
-
     /// Logs the outcome of a submission, with what was recorded of the queue.
     void logAcceptedJob(const batch::batch_state& state, const std::string& id, bool committed)
     {
@@ -85,8 +73,18 @@
 
 void cancelJob(batch_controller& jobs, const std::string& id, call_result_callback done)
 {
-    showJob(jobs, id);
-    proposeLogged(jobs, batch::job_cancelled { id }, "job_cancelled", id, std::move(done));
+    // Propose it for an unknown job as well: its submission may be proposed already, or still be on its way.
+    jobs.propose(batch::job_cancelled { id }, [&jobs, id, done = std::move(done)](proposal_result result) {
+        const bool committed = result == proposal_result::Committed;
+        const bool isKnown = batch::findJob(jobs.state(), id) != nullptr;
+        logEvent("job_cancelled",
+            { { "job", id }, { "outcome", committed ? "committed" : "unknown" },
+                { "known", isKnown ? "true" : "false" } });
+        if (!committed)
+            done(call_result::Unknown);
+        else
+            done(isKnown ? call_result::Applied : call_result::NoSuchJob);
+    });
 }
 
 const batch::job_record& showJob(const batch_controller& jobs, std::string_view id)
--- a/chervilport/control/batch_calls.h
+++ b/chervilport/control/batch_calls.h
@@ -19,6 +19,8 @@
     Applied,
     /// The change may still be committed; the caller has to retry.
     Unknown,
+    /// No job has this id. A submission of the id that arrives later is recorded as cancelled.
+    NoSuchJob,
 };
 
 /// Receives the result of a call; called once.
@@ -28,7 +30,7 @@
 /// all functions here.
 void submitJob(batch_controller&, batch::job_request, const batch::resolved_call&, call_result_callback);
 
-/// Cancels a job. Throws chervilport_error `Gone` when no job has this id.
+/// Cancels a job, also one whose submission is still on its way. Ends with `NoSuchJob` when no job has this id.
 void cancelJob(batch_controller&, const std::string& id, call_result_callback);
 
 /// Returns a job. Throws chervilport_error `Gone` when no job has this id.
--- a/tests/batch/batch_apply_test.cpp
+++ b/tests/batch/batch_apply_test.cpp
@@ -268,6 +268,19 @@
     cr_assert_eq(objectiveMs(restored, site.schedulerState.estimates, restored.jobs.at(id)), before);
 }
 
+// Guards against cancelled ids that are forgotten by a snapshot, or kept for ever.
+Test(batchApply, cancelledIdsAreKeptInASnapshotForAsLongAsEndedJobs)
+{
+    fake_site site;
+    site.apply(job_cancelled { "early" });
+    cr_assert(decodeState(encodeState(site.state())).cancelledIds == site.state().cancelledIds);
+    cr_assert_eq(site.state().cancelledIds.size(), 1);
+    site.advance(endedJobRetentionMs + 1);
+    site.apply(job_cancelled { "other" });
+    cr_assert_eq(site.state().cancelledIds.size(), 1);
+    cr_assert(site.state().cancelledIds.contains("other"));
+}
+
 // Guards against the log of an earlier version that can no longer be read.
 Test(batchApply, submissionOfAnEarlierVersionTakesTheConfiguredQueue)
 {
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -145,13 +145,13 @@
     site.addWorkers(1);
     site.submit(normalQueue, { stepOf(1, 1) });
     const auto bytes = encodeState(site.state());
-    // At the end stand the sizes of five empty maps and the ten fields of the queue of the job. Earlier versions wrote
-    // none of the maps, the first three or four, or all of them, and never the queue.
-    constexpr std::size_t queueFields = 10;
+    // At the end stand the sizes of five empty maps, the ten fields of the queue of the job and the size of another
+    // empty map. Earlier versions wrote none of the first maps, three or four, or all of them, and never the rest.
+    constexpr std::size_t laterFields = 11;
     const auto fields = nlohmann::json::from_cbor(bytes);
     for (const std::size_t missingMaps : { 0, 1, 2, 5 }) {
         auto earlier = fields;
-        earlier.erase(earlier.end() - static_cast<std::ptrdiff_t>(queueFields + missingMaps), earlier.end());
+        earlier.erase(earlier.end() - static_cast<std::ptrdiff_t>(laterFields + missingMaps), earlier.end());
         const auto encoded = nlohmann::json::to_cbor(earlier);
         const auto restored = decodeState({ reinterpret_cast<const char*>(encoded.data()), encoded.size() });
         cr_assert(encodeState(restored) == bytes);
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -259,6 +259,45 @@
     cr_assert_eq(fixture.jobs->countPendingJobs(fixture.jobs->state().config.queues.front()), 0);
 }
 
+// Guards against a job that starts after its cancellation was acknowledged: an instance that was suspended relays the
+// submission seconds later, or the submission is not committed yet when the cancellation arrives.
+Test(batchCalls, jobCancelledBeforeItIsRecordedNeverStarts)
+{
+    for (const bool isUnderWay : { false, true }) {
+        calls_fixture fixture;
+        becomeLeader(*fixture.jobs);
+        applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+        fixture.run();
+        reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+        fixture.run();
+        const auto submit = [&] {
+            const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+            submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+        };
+        if (isUnderWay)
+            submit();
+        cancelJob(*fixture.jobs, "job", fixture.recordResult());
+        fixture.run();
+        cr_assert(fixture.results.back() == (isUnderWay ? call_result::Applied : call_result::NoSuchJob));
+        if (!isUnderWay)
+            cr_assert_throw(showJob(*fixture.jobs, "job"), chervilport_error);
+        submit();
+        fixture.run();
+        cr_assert(showJob(*fixture.jobs, "job").phase == batch::job_phase::Cancelled);
+        cr_assert(fixture.worker.starts.empty());
+    }
+}
+
+// Guards against a caller who is told that its cancellation holds although it was not committed.
+Test(batchCalls, uncommittedCancellationOfAnUnknownJobIsNotAcknowledged)
+{
+    calls_fixture fixture;
+    fixture.isCommitting = false;
+    cancelJob(*fixture.jobs, "job", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Unknown);
+}
+
 // Guards against an accepted job that never starts: it was checked against a configuration that another one, which
 // gives its queue another name, replaced before the job was recorded.
 Test(batchCalls, jobSubmittedWhileItsQueueIsRenamedIsStarted)
