Leave the descriptors that libcurl has closed to their next owners

Each time a live worker's record is removed (worker_life_ended) on a 421. A trial build that logs requests and sockets shows the 421 of another worker: a request to 10.3.64.40 goes out on a socket that is connected to 10.1.64.120, and before it two sockets are opened with descriptor 455 and none is closed. In that play 14 descriptors were opened again without a close, after 75 connections that were not established in time.

Cause: libcurl closes the socket of a connection that is not established in time itself, without the callback that closes all others. Its entry stayed in curl_sockets with an Asio socket that owned the descriptor. When libcurl got the same descriptor for its next socket, the entry was replaced and its destructor closed that socket; whatever was opened next, a connection to another worker, one of the transport or a file, got the descriptor too, and libcurl wrote its request there.

Change: an entry whose descriptor comes up again is released, not closed, before Asio knows the new socket; so are entries that are left when libcurl has ended.

Tests: curlSockets/descriptorThatLibcurlClosedBelongsToItsNextOwner and curlSockets/reusedDescriptorIsWatched failed before.

--- a/chervilport/http/curl_sockets.cpp
+++ b/chervilport/http/curl_sockets.cpp
@@ -4,6 +4,8 @@
 
 #include <curl/curl.h>
 #include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace chervilport {
@@ -28,34 +30,61 @@
 {
 }
 
+curl_sockets::~curl_sockets()
+{
+    while (!m_entries.empty())
+        forget(m_entries.begin()->first);
+}
+
 int curl_sockets::open(int family)
 {
+    const int handle = ::socket(family, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+    if (handle < 0)
+        return -1;
+    // Before Asio knows the new socket: both have the same descriptor.
+    if (m_entries.contains(handle))
+        forget(handle);
     auto opened = std::make_shared<entry>(m_context);
     asio::error_code error;
-    opened->socket.open(family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
-    if (error)
+    opened->socket.assign(family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), handle, error);
+    if (error) {
+        ::close(handle);
         return -1;
-    const auto handle = opened->socket.native_handle();
+    }
     m_entries[handle] = std::move(opened);
     m_unindexed.insert(handle);
     return handle;
 }
 
+/// Removes the entry of a socket that libcurl has closed itself, and leaves its descriptor to the next owner.
+void curl_sockets::forget(int handle)
+{
+    const auto forgotten = remove(handle);
+    asio::error_code ignored;
+    forgotten->socket.release(ignored);
+}
+
+curl_sockets::entry_ptr curl_sockets::remove(int handle)
+{
+    const auto found = m_entries.find(handle);
+    const auto removed = found->second;
+    m_entries.erase(found);
+    m_unindexed.erase(handle);
+    const auto indexed = m_socketsByLocalPort.find(removed->localPort);
+    if (indexed != m_socketsByLocalPort.end() && indexed->second == handle)
+        m_socketsByLocalPort.erase(indexed);
+    removed->watchedEvents = CURL_POLL_REMOVE;
+    return removed;
+}
+
 void curl_sockets::close(int socket)
 {
-    const auto found = m_entries.find(socket);
     // libcurl gets all its sockets from `open`, so a missing entry means that the socket was closed before.
-    if (found == m_entries.end()) {
+    if (!m_entries.contains(socket)) {
         logEvent("socket_closed_twice", { { "socket", socket } }, log_level::Warning);
         return;
     }
-    const auto closed = found->second;
-    m_entries.erase(found);
-    m_unindexed.erase(socket);
-    const auto indexed = m_socketsByLocalPort.find(closed->localPort);
-    if (indexed != m_socketsByLocalPort.end() && indexed->second == socket)
-        m_socketsByLocalPort.erase(indexed);
-    closed->watchedEvents = CURL_POLL_REMOVE;
+    const auto closed = remove(socket);
     asio::error_code ignored;
     closed->socket.close(ignored);
 }
--- a/chervilport/http/curl_sockets.h
+++ b/chervilport/http/curl_sockets.h
@@ -11,7 +11,9 @@
 
 namespace chervilport {
 
-/// The open sockets of libcurl; Asio waits for their readiness.
+/// The open sockets of libcurl; Asio waits for their readiness. libcurl closes them by `close`, but the socket of a
+/// connection that was not established in time it closes itself. The entry of such a socket stays until its descriptor
+/// is used again here; until then, the descriptor can belong to any other socket or file.
 class curl_sockets {
 public:
     /// Receives a socket and its readiness (`CURL_CSELECT_IN`, `CURL_CSELECT_OUT` or `CURL_CSELECT_ERR`).
@@ -19,6 +21,10 @@
 
     /// Creates an empty set.
     curl_sockets(asio::io_context&, ready_callback);
+    curl_sockets(const curl_sockets&) = delete;
+    curl_sockets& operator=(const curl_sockets&) = delete;
+    /// libcurl has ended and closed all its sockets.
+    ~curl_sockets();
 
     /// Opens a TCP socket; returns -1 if that fails.
     int open(int family);
@@ -38,6 +44,8 @@
     struct entry;
     using entry_ptr = std::shared_ptr<entry>;
 
+    entry_ptr remove(int handle);
+    void forget(int handle);
     void waitFor(const entry_ptr&, bool forReading);
     bool tryIndex(int handle);
     void indexIfEstablished(int handle);
