--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -97,6 +97,15 @@
     return request;
 }
 
+/// Applies the first configuration and records a worker.
+void configureWithWorker(calls_fixture& fixture)
+{
+    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
+    fixture.run();
+}
+
 } // namespace
 
 // Guards against a resent job that is proposed again, and against one that is refused.
@@ -163,10 +172,7 @@
 Test(batchCalls, lateLeaveOfAnEarlierIncarnationChangesNothing)
 {
     calls_fixture fixture;
-    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-    fixture.run();
-    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-    fixture.run();
+    configureWithWorker(fixture);
     reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
     fixture.run();
     removeWorker(*fixture.jobs, "w", fixture.recordResult());
@@ -201,10 +207,7 @@
 Test(batchCalls, reportOfAnUnknownServiceEndsNoWorker)
 {
     calls_fixture fixture;
-    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-    fixture.run();
-    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-    fixture.run();
+    configureWithWorker(fixture);
     auto foreign = reportOf(20, 1, false);
     foreign.service = "other";
     for (const auto* const id : { "w", "x" }) {
@@ -223,10 +226,7 @@
 Test(batchCalls, workerOfARemovedServiceIsStillRecordedAsDraining)
 {
     calls_fixture fixture;
-    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-    fixture.run();
-    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-    fixture.run();
+    configureWithWorker(fixture);
     auto without = configOf(2);
     without.services = { "later" };
     without.queues.front().service = "later";
@@ -243,10 +243,7 @@
 {
     calls_fixture fixture;
     becomeLeader(*fixture.jobs);
-    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-    fixture.run();
-    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-    fixture.run();
+    configureWithWorker(fixture);
     fixture.worker.startReplies = { worker_reply::NoResponse };
     const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
     submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
@@ -266,10 +263,7 @@
     for (const bool isUnderWay : { false, true }) {
         calls_fixture fixture;
         becomeLeader(*fixture.jobs);
-        applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-        fixture.run();
-        reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-        fixture.run();
+        configureWithWorker(fixture);
         const auto submit = [&] {
             const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
             submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
@@ -304,10 +298,7 @@
 {
     calls_fixture fixture;
     becomeLeader(*fixture.jobs);
-    applyConfig(*fixture.jobs, configOf(1), fixture.recordResult());
-    fixture.run();
-    reportWorker(*fixture.jobs, reportOf(10, 1, false), fixture.recordResult());
-    fixture.run();
+    configureWithWorker(fixture);
     auto renamed = configOf(2);
     renamed.queues.front().name = "renamed";
     const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
