Soak: rename a queue while jobs are submitted to it

Versions give the patient queue one of three names in turn now; the draws of the other faults are unchanged.

--- a/tests/soak/soak_operator.cpp
+++ b/tests/soak/soak_operator.cpp
@@ -20,12 +20,14 @@
     /// Time after which all instances refuse a revoked key.
     constexpr auto revocationDelay = 5'000ms;
     constexpr double raceProbability = 0.3;
+    /// Number of names that the queue of the patient jobs has in turn.
+    constexpr std::uint64_t queueNames = 3;
     constexpr const char* path = "/v1/config";
     constexpr int ok = 200;
     constexpr int badRequest = 400;
     constexpr int firstServerError = 500;
 
-    nlohmann::json describeRoute(const char* name, const char* pathPrefix, int priority)
+    nlohmann::json describeRoute(const std::string& name, const char* pathPrefix, int priority)
     {
         return { { "name", name }, { "host", soak_operator::host }, { "path_prefix", pathPrefix },
             { "type", "non_idempotent" }, { "timeout_ms", 3'000 }, { "target_duration_ms", 1'000 },
@@ -65,7 +67,9 @@
     const auto key = "temporary-" + std::to_string(version) + '-' + std::to_string(m_random());
     m_temporaryKeys[version].push_back(key);
     nlohmann::json body { { "version", version } };
-    body["routes"] = { describeRoute("r-soak", prefix, 1), describeRoute("r-urgent", urgentPrefix, 0) };
+    // Versions rename the queue while jobs are submitted to it.
+    const auto queueName = "r-soak-" + std::to_string(version % queueNames);
+    body["routes"] = { describeRoute(queueName, prefix, 1), describeRoute("r-urgent", urgentPrefix, 0) };
     body["services"] = nlohmann::json::array({ { { "name", "planner" }, { "health_path", "/health" },
         { "max_conns", 64 }, { "protocol", "h1" }, { "tls", false }, { "admission_control", false } } });
     body["limits"] = { { "max_header_bytes", 16'384 }, { "max_body_bytes", 262'144 }, { "header_timeout_ms", 3'000 },
