--- a/chervilport/http/curl_sockets.cpp
+++ b/chervilport/http/curl_sockets.cpp
@@ -67,7 +67,7 @@
 curl_sockets::entry_ptr curl_sockets::remove(int handle)
 {
     const auto found = m_entries.find(handle);
-    const auto removed = found->second;
+    auto removed = found->second;
     m_entries.erase(found);
     m_unindexed.erase(handle);
     const auto indexed = m_socketsByLocalPort.find(removed->localPort);
