Read the last ends of a worker before it is removed

Cause: a draining worker leaves as soon as its last run has ended. If its leave call is handled before the response of the poll that lists the end, the log removes the worker first: the run ends as lost and the done end that follows is ignored.

Change: a worker with active runs that says it leaves is polled once more, and the ends that it lists are proposed before its removal. Without a response it is removed as before.

Tests: batchCalls/runThatIsDoneBeforeItsWorkerLeavesIsNotRunAgain failed before (the job stayed active); control 104, batch 116 tests pass.

--- a/chervilport/control/batch_calls.cpp
+++ b/chervilport/control/batch_calls.cpp
@@ -26,6 +26,19 @@
                 { "max_attempts", job->queue.maxAttempts }, { "config_version", state.config.version } });
     }
 
+    void proposeLeave(batch_controller& jobs, const std::string& id, batch::worker_number number,
+        std::int64_t incarnation, call_result_callback done)
+    {
+        jobs.propose(batch::incarnation_ended { number, incarnation },
+            [id, incarnation, done = std::move(done)](proposal_result result) {
+                const bool committed = result == proposal_result::Committed;
+                logEvent("worker_left",
+                    { { "worker", id }, { "incarnation", incarnation },
+                        { "outcome", committed ? "committed" : "unknown" } });
+                done(committed ? call_result::Applied : call_result::Unknown);
+            });
+    }
+
     std::size_t countWorkers(const batch::batch_state& state, const std::string& failureDomain)
     {
         return static_cast<std::size_t>(std::count_if(state.workers.begin(), state.workers.end(),
@@ -176,13 +189,11 @@
         done(call_result::Applied);
         return;
     }
-    jobs.propose(batch::incarnation_ended { worker->number, incarnation },
-        [id, incarnation, done = std::move(done)](proposal_result result) {
-            const bool committed = result == proposal_result::Committed;
-            logEvent("worker_left",
-                { { "worker", id }, { "incarnation", incarnation },
-                    { "outcome", committed ? "committed" : "unknown" } });
-            done(committed ? call_result::Applied : call_result::Unknown);
+    // A worker leaves as soon as its last run has ended, so the end may not have been read yet. Commands are applied in
+    // the order in which they are proposed.
+    jobs.collectLastEnds(*worker,
+        [controller = jobs.shared_from_this(), id, number = worker->number, incarnation, done = std::move(done)] {
+            proposeLeave(*controller, id, number, incarnation, done);
         });
 }
 
--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -266,6 +266,12 @@
     return worker.report.draining && (session == m_sessions.end() || session->second->canHaveDrained(monotonicNow()));
 }
 
+void batch_controller::collectLastEnds(const batch::worker_record& worker, std::function<void()> done)
+{
+    const auto session = m_sessions.find(worker.number);
+    session == m_sessions.end() ? done() : session->second->collectLastEnds(std::move(done));
+}
+
 std::size_t batch_controller::countPendingJobs(const batch::queue_config& queue) const
 {
     return batch::countPendingJobs(m_state, queue, [this](batch::worker_number worker, const batch::run_ref& run) {
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -302,6 +302,26 @@
     }
 }
 
+void worker_session::collectLastEnds(std::function<void()> done)
+{
+    if (m_closed || m_incarnationEnded || m_runs.empty() || !m_host.mayExecute()) {
+        done();
+        return;
+    }
+    // Neither the lease is renewed nor ends acknowledged: the worker ends, and the poll in flight may do so.
+    poll_request request;
+    request.fencingToken = fencingToken();
+    m_host.client->poll(target(), request,
+        [self = shared_from_this(), incarnation = m_incarnation, done = std::move(done)](
+            const poll_response& response) {
+            const bool isCurrent = !self->m_closed && !self->m_incarnationEnded && self->m_incarnation == incarnation;
+            const bool isSame = response.incarnation == 0 || response.incarnation == incarnation;
+            if (isCurrent && isSame && response.result.reply == worker_reply::Done)
+                self->reconcileEnds(response);
+            done();
+        });
+}
+
 void worker_session::reconcileRunning(const poll_response& response)
 {
     m_hasUnknownRuns = false;
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -7,6 +7,7 @@
 #include "chervilport/control/session_host.h"
 #include "chervilport/control/worker_clock.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -55,6 +56,10 @@
     /// drain does not know, and returns true.
     bool canHaveDrained(log_time now) const;
 
+    /// Polls the worker, which says that it leaves, and proposes the ends that it lists. Then, or if the worker does
+    /// not respond, calls `done`.
+    void collectLastEnds(std::function<void()> done);
+
     /// Processes timeouts: retries requests without a response and ends runs whose lease has expired.
     void tick(log_time now);
 
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -256,6 +256,49 @@
     cr_assert_eq(fixture.jobs->countPendingJobs(fixture.jobs->state().config.queues.front()), 0);
 }
 
+// Guards against a task that runs again although it is done: its worker leaves as soon as its last run has ended, and
+// the leave call arrives before the response of the poll that lists the end.
+Test(batchCalls, runThatIsDoneBeforeItsWorkerLeavesIsNotRunAgain)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    configureWithWorker(fixture);
+    const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+    submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+    fixture.run();
+    cr_assert_eq(fixture.worker.starts.size(), 1);
+    const auto run = fixture.worker.starts.front().run;
+    fixture.worker.running = { { run, "", 0 } };
+    fixture.worker.heldPoll();
+    reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
+    fixture.run();
+    fixture.worker.running.clear();
+    fixture.worker.ended = { { 1, run, batch::run_end_kind::Done, "" } };
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Applied);
+    cr_assert(fixture.jobs->state().workers.empty());
+    cr_assert(showJob(*fixture.jobs, "job").phase == batch::job_phase::Completed);
+}
+
+// Guards against a worker that stays because it says that it leaves and then does not respond.
+Test(batchCalls, workerThatLeavesWithoutAResponseIsRemoved)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    configureWithWorker(fixture);
+    const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+    submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+    fixture.run();
+    reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
+    fixture.run();
+    fixture.worker.pollReplies = { worker_reply::NoResponse };
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    cr_assert(fixture.jobs->state().workers.empty());
+    cr_assert(showJob(*fixture.jobs, "job").phase == batch::job_phase::Active);
+}
+
 // Guards against a job that starts after its cancellation was acknowledged: an instance that was suspended relays the
 // submission seconds later, or the submission is not committed yet when the cancellation arrives.
 Test(batchCalls, jobCancelledBeforeItIsRecordedNeverStarts)
