--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -269,7 +269,9 @@
 void batch_controller::collectLastEnds(const batch::worker_record& worker, std::function<void()> done)
 {
     const auto session = m_sessions.find(worker.number);
-    session == m_sessions.end() ? done() : session->second->collectLastEnds(std::move(done));
+    if (session == m_sessions.end())
+        return done();
+    session->second->collectLastEnds(std::move(done));
 }
 
 std::size_t batch_controller::countPendingJobs(const batch::queue_config& queue) const
