Review case 11: tasks run again when more than 500 ends are listed

Tests TWICE: a start after a run has ended `done`, if that end is taken note of. A job of 620 small tasks ends on one executor while the leader is killed. The executor returns its ends 500 at a time; the new leader takes the rest as missing and starts these tasks again, 119 or 120 of them.

--- /dev/null
+++ b/review/driver-3/cases.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace chervilport::review {
+
+class record;
+
+/// Result of a case, which is also the exit status.
+enum class case_result : int {
+    Held = 0,
+    Broken = 1,
+    NotRun = 2,
+};
+
+/// Many tasks end on one executor while the leader is replaced. Judges TWICE.
+case_result runManyEnds(record&, bool hasTrouble);
+
+} // namespace chervilport::review
