Review case 12: the first configuration is acknowledged by a group of one voter

Tests CONFIG: read back, the configuration doesn't come. The first seed of three cores acknowledges the first configuration before the others have joined, loses its disk and is back with an empty one. No node ever answers a read with 200 again, and the group does not form again.

--- a/review/driver-3/callers.cpp
+++ b/review/driver-3/callers.cpp
@@ -3,6 +3,7 @@
 #include "review/driver-3/cluster.h"
 #include "review/driver-3/record.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace chervilport::review {
@@ -12,7 +13,9 @@
     using namespace std::chrono_literals;
 
     constexpr auto operatorTimeout = 1s;
-    constexpr auto operatorPause = 100ms;
+    /// Pause before the next attempt; it doubles each time.
+    constexpr auto firstOperatorPause = 100ms;
+    constexpr auto maxOperatorPause = 1'600ms;
     constexpr auto clientDeadline = 3'000ms;
     constexpr auto clientPause = 300ms;
     constexpr int clientAttempts = 5;
@@ -58,13 +61,15 @@
     const auto end = std::chrono::steady_clock::now() + patience;
     const auto addresses = m_cluster.controlAddresses();
     const auto version = std::to_string(config["version"].get<std::int64_t>());
+    std::chrono::milliseconds pause = firstOperatorPause;
     for (std::size_t i = 0; std::chrono::steady_clock::now() < end; ++i) {
         const auto node = i % addresses.size();
         const auto response = exchange(addresses[node], { "PUT", "/v1/config", {}, config.dump() }, operatorTimeout);
         m_log.add("PUT configuration " + version + " at core-" + std::to_string(node + 1) + ": " + describe(response));
         if (response && response->status == ok)
             return node;
-        std::this_thread::sleep_for(operatorPause);
+        std::this_thread::sleep_for(pause);
+        pause = std::min<std::chrono::milliseconds>(2 * pause, maxOperatorPause);
     }
     return std::nullopt;
 }
--- a/review/driver-3/cases.h
+++ b/review/driver-3/cases.h
@@ -14,4 +14,7 @@
 /// Many tasks end on one executor while the leader is replaced. Judges TWICE.
 case_result runManyEnds(record&, bool hasTrouble);
 
+/// A node loses its disk right after it has acknowledged the first configuration. Judges CONFIG.
+case_result runFirstConfig(record&, bool hasTrouble);
+
 } // namespace chervilport::review
--- a/review/driver-3/cluster.cpp
+++ b/review/driver-3/cluster.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace chervilport::review {
@@ -123,7 +124,7 @@
         std::filesystem::remove_all(m_folder, ignored);
 }
 
-void cluster::startAll()
+void cluster::startAll(std::chrono::milliseconds delay)
 {
     for (auto* const group : { &m_cores, &m_edges }) {
         for (auto& each : *group) {
@@ -131,6 +132,8 @@
                 std::filesystem::create_directories(each.dataFolder);
             writeSettings(each, true);
             launch(each);
+            if (&each == &m_cores.front())
+                std::this_thread::sleep_for(delay);
         }
     }
 }
--- a/review/driver-3/cluster.h
+++ b/review/driver-3/cluster.h
@@ -29,8 +29,8 @@
     cluster(const cluster&) = delete;
     cluster& operator=(const cluster&) = delete;
 
-    /// Starts all processes for the first time, the cores in the order of their addresses.
-    void startAll();
+    /// Starts all processes for the first time, all after the first core with a delay.
+    void startAll(std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
     /// Starts a core that was killed. `bootstrap` is false from now on.
     void startCore(std::size_t core);
--- a/review/driver-3/executor.cpp
+++ b/review/driver-3/executor.cpp
@@ -21,6 +21,9 @@
     constexpr int misdirected = 421;
     /// Number of ends that a list holds at most.
     constexpr std::size_t maxListedEnds = 500;
+    /// Percent of a task that ends, which is a rough figure, and of one that lasts.
+    constexpr int halfDone = 50;
+    constexpr int atWork = 100;
     constexpr std::int64_t maxWaitMs = 2'000;
     constexpr auto workInterval = 5ms;
     constexpr auto readSlice = 200ms;
@@ -42,7 +45,7 @@
     , m_listener(listenOn(m_options.ip))
     , m_address(m_options.ip + ':' + std::to_string(localPortOf(m_listener)))
 {
-    begin(0ms);
+    begin(m_options.clockError);
     m_threads.emplace_back([this] { accept(); });
     m_threads.emplace_back([this] { work(); });
     m_threads.emplace_back([this] { sendBeats(); });
@@ -75,17 +78,17 @@
     m_changed.notify_all();
 }
 
-void executor::restart(std::chrono::milliseconds clockStep)
+void executor::restart(std::chrono::milliseconds clockError)
 {
     const std::lock_guard lock(m_mutex);
-    begin(clockStep);
+    begin(clockError);
 }
 
-void executor::begin(std::chrono::milliseconds clockStep)
+void executor::begin(std::chrono::milliseconds clockError)
 {
     ++m_life;
     m_isUp = true;
-    m_born = wallMs() + clockStep.count();
+    m_born = wallMs() + clockError.count();
     m_bornAt = clock::now();
     m_sequence = 0;
     m_token = 0;
@@ -207,7 +210,7 @@
 {
     auto running = nlohmann::json::array();
     for (const auto& [task, run] : m_runs)
-        running.push_back({ task, run.run, "", 50, 0 });
+        running.push_back({ task, run.run, "", run.endsAt ? halfDone : atWork, 0 });
     auto finished = nlohmann::json::array();
     for (const auto& end : m_ends) {
         if (finished.size() < maxListedEnds)
@@ -297,8 +300,8 @@
         { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
         { "capacity",
             { { "cpu", m_options.milliCores }, { "mem_mb", m_options.memoryMb }, { "gpu", m_options.accelerators } } },
-        { "labels", { "a", m_options.rack } }, { "clock_ms", clockMs() }, { "born", m_born }, { "seq", ++m_sequence },
-        { "machine", "m-" + m_options.id } };
+        { "labels", { m_options.kind, m_options.rack } }, { "clock_ms", clockMs() }, { "born", m_born },
+        { "seq", ++m_sequence }, { "machine", "m-" + m_options.id } };
     return body.dump();
 }
 
--- a/review/driver-3/executor.h
+++ b/review/driver-3/executor.h
@@ -28,12 +28,16 @@
     std::string service;
     std::string zone;
     std::string rack;
+    /// Its kind, the first label.
+    std::string kind = "a";
     std::int64_t milliCores = 64'000;
     std::int64_t memoryMb = 262'144;
     std::int64_t accelerators = 8;
     std::chrono::milliseconds beat { 1'500 };
     std::chrono::milliseconds maxLease { 10'000 };
     std::chrono::milliseconds stopTime { 300 };
+    /// Error of the time of day in its first life.
+    std::chrono::milliseconds clockError { 0 };
     /// Returns for how long a task works, or nothing for one that lasts.
     std::function<std::optional<std::chrono::milliseconds>(const std::string& task)> workOf;
     /// Returns the addresses that take heartbeats.
@@ -58,8 +62,8 @@
     /// Crashes: nothing runs any more, and nothing is sent or answered until the next life.
     void crash();
 
-    /// Begins a life under the same id. `clockStep` is added to the time of day that it sees.
-    void restart(std::chrono::milliseconds clockStep = std::chrono::milliseconds(0));
+    /// Begins a life under the same id. `clockError` is added to the time of day that it sees.
+    void restart(std::chrono::milliseconds clockError = std::chrono::milliseconds(0));
 
 private:
     using clock = std::chrono::steady_clock;
@@ -77,7 +81,7 @@
         std::string how;
     };
 
-    void begin(std::chrono::milliseconds clockStep);
+    void begin(std::chrono::milliseconds clockError);
     void accept();
     void serve(const tcp_socket&, std::uint64_t life);
     std::optional<http_response> answer(const http_request&, std::uint64_t life);
