Review case 13: a guaranteed gang with a limit per executor is never placed

Tests RECLAIM: a job of priority 0 hasn't begun all tasks of its first step after `reclaim_ms`. The room is borrowed by another tenant; the preemption ignores `max_per_server`, frees room on one executor only, and repeats that plan. The job is still queued 30 s later.

--- a/review/driver-3/cases.h
+++ b/review/driver-3/cases.h
@@ -17,4 +17,7 @@
 /// A node loses its disk right after it has acknowledged the first configuration. Judges CONFIG.
 case_result runFirstConfig(record&, bool hasTrouble);
 
+/// A guaranteed job whose tasks run on different executors needs room that another tenant has borrowed. Judges RECLAIM.
+case_result runSpreadGuarantee(record&, bool hasTrouble);
+
 } // namespace chervilport::review
