--- a/review/driver-3/cases.h
+++ b/review/driver-3/cases.h
@@ -20,4 +20,7 @@
 /// A guaranteed job whose tasks run on different executors needs room that another tenant has borrowed. Judges RECLAIM.
 case_result runSpreadGuarantee(record&, bool hasTrouble);
 
+/// An executor is back under its id after its time of day has stepped back. Judges LOST.
+case_result runClockBack(record&, bool hasTrouble);
+
 } // namespace chervilport::review
