Review case 15: a service that fails for a while keeps all executors in quarantine

Tests LOST: a task that lasts isn't started again within 6 s and 3 s though there is capacity. Eight idle executors are quarantined one after the other for the failures of one task; nothing is started for 12.3 to 12.4 s.

--- a/review/driver-3/cases.h
+++ b/review/driver-3/cases.h
@@ -23,7 +23,7 @@
 /// An executor is back under its id after its time of day has stepped back. Judges LOST.
 case_result runClockBack(record&, bool hasTrouble);
 
-/// A guaranteed job needs room that a service has borrowed of which one task may be unavailable. Judges AVAIL.
-case_result runProtectedService(record&, bool hasTrouble);
+/// A service fails for a while on every executor. Judges LOST.
+case_result runFailingService(record&, bool hasTrouble);
 
 } // namespace chervilport::review
--- a/review/driver-3/executor.cpp
+++ b/review/driver-3/executor.cpp
@@ -279,7 +279,7 @@
         const bool hasLapsed = !m_runs.empty() && clockMs() > m_leaseUntilMs;
         for (const auto& [task, run] : m_runs) {
             if (run.endsAt && now >= *run.endsAt)
-                ended.emplace_back(task, "done");
+                ended.emplace_back(task, m_options.failsAt(task) ? "failed" : "done");
             else if (run.stopsAt && now >= *run.stopsAt)
                 ended.emplace_back(task, "stopped");
             else if (hasLapsed)
--- a/review/driver-3/executor.h
+++ b/review/driver-3/executor.h
@@ -40,6 +40,8 @@
     std::chrono::milliseconds clockError { 0 };
     /// Returns for how long a task works, or nothing for one that lasts.
     std::function<std::optional<std::chrono::milliseconds>(const std::string& task)> workOf;
+    /// Returns whether a task fails at the end of its work.
+    std::function<bool(const std::string& task)> failsAt = [](const std::string&) { return false; };
     /// Returns the addresses that take heartbeats.
     std::function<std::vector<std::string>()> controlAddresses;
 };
--- a/review/driver-3/main.cpp
+++ b/review/driver-3/main.cpp
@@ -14,7 +14,7 @@
 
 const std::map<std::string, std::function<case_result(record&, bool)>> cases {
     { "many-ends", runManyEnds },
-    { "protected-service", runProtectedService },
+    { "failing-service", runFailingService },
     { "clock-back", runClockBack },
     { "spread-guarantee", runSpreadGuarantee },
     { "first-config", runFirstConfig },
