--- a/review/driver-3/failing_service.cpp
+++ b/review/driver-3/failing_service.cpp
@@ -25,7 +25,7 @@
     constexpr auto timeToFailure = 500ms;
     constexpr auto failingTime = 40s;
     constexpr auto startPatience = 15s;
-    constexpr auto watchTime = 75s;
+    constexpr auto watchTime = 65s;
     /// A lasting task has to run again 6 s after its last run, if there is capacity for 3 s.
     constexpr auto longestGap = 9s;
     constexpr auto checkInterval = 20ms;
--- a/review/driver-3/many_ends.cpp
+++ b/review/driver-3/many_ends.cpp
@@ -22,7 +22,7 @@
     /// Work of a task; the sheets have kinds of 2.5 to 11 s.
     constexpr auto work = 9s;
     constexpr auto startPatience = 15s;
-    constexpr auto endPatience = 60s;
+    constexpr auto endPatience = 45s;
     constexpr auto ackPatience = 3s;
     constexpr auto stateInterval = 500ms;
     constexpr std::size_t breaksToRecord = 5;
