Review: the limits of the disruptions in the claims, and the check of case 14 as the rule has it

Case 14 asks for 3 s with nothing running, finish_s after the last call, instead of a completed job. Case 12 does not count when the machines start more than 0.3 s apart.

--- a/review/driver-3/clock_back.cpp
+++ b/review/driver-3/clock_back.cpp
@@ -6,6 +6,7 @@
 #include "review/driver-3/run_ledger.h"
 #include "review/driver-3/wait_until.h"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -29,8 +30,12 @@
     /// Time from the start of the task to the crash, and from the crash to the next life.
     constexpr auto timeToCrash = 300ms;
     constexpr auto downTime = 500ms;
-    /// Time after which the job must have ended: its work, the longest lease, `finish_s` and more.
-    constexpr auto endPatience = 40s;
+    /// `finish_s`, and the time for which the job is watched after it.
+    constexpr auto finishTime = 14s;
+    constexpr auto watchTime = 20s;
+    /// Time for which nothing may run while there is capacity.
+    constexpr auto idleBound = 3s;
+    constexpr auto checkInterval = 20ms;
     constexpr auto stateInterval = 1s;
 
     nlohmann::json makeJob()
@@ -82,11 +87,27 @@
         std::this_thread::sleep_for(downTime);
         worker.restart();
     }
-    const bool isCompleted = waitUntil(
-        endPatience, [&] { return client.stateOf(prefix, job) == "completed"; }, stateInterval);
+
+    // `finish_s` later, the job has ended, or something of it runs at least once in each 3 s.
+    const auto isCompleted = [&] { return client.stateOf(prefix, job) == "completed"; };
+    bool hasEnded = waitUntil(finishTime, isCompleted, stateInterval);
+    const auto watchEnd = std::chrono::steady_clock::now() + watchTime;
+    auto lastAtWork = std::chrono::steady_clock::now();
+    std::chrono::steady_clock::duration longest {};
+    while (!hasEnded && std::chrono::steady_clock::now() < watchEnd) {
+        std::this_thread::sleep_for(checkInterval);
+        if (ledger.countRunning(job) > 0)
+            lastAtWork = std::chrono::steady_clock::now();
+        longest = std::max(longest, std::chrono::steady_clock::now() - lastAtWork);
+        hasEnded = ledger.countTasks(job, "done") > 0;
+    }
+    client.stateOf(prefix, job);
     log.add(std::to_string(ledger.countStarts(job)) + " starts of the task, "
-        + (isCompleted ? "the job is completed" : "the job has not ended and nothing of it runs"));
-    return isCompleted ? case_result::Held : case_result::Broken;
+        + (hasEnded ? std::string("the job has ended")
+                    : "nothing of the job ran for "
+                    + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(longest).count())
+                    + " ms after finish_s, with " + std::to_string(executorCount) + " idle executors"));
+    return longest >= idleBound ? case_result::Broken : case_result::Held;
 }
 
 } // namespace chervilport::review
--- a/review/driver-3/cluster.cpp
+++ b/review/driver-3/cluster.cpp
@@ -120,8 +120,7 @@
         }
     }
     std::error_code ignored;
-    if (std::getenv("KEEP_LOGS") == nullptr)
-        std::filesystem::remove_all(m_folder, ignored);
+    std::filesystem::remove_all(m_folder, ignored);
 }
 
 void cluster::startAll(std::chrono::milliseconds delay)
--- a/review/driver-3/first_config.cpp
+++ b/review/driver-3/first_config.cpp
@@ -15,8 +15,9 @@
     constexpr const char* key = "d4a3hwrr6x73d3zji9n7";
     constexpr std::int64_t version = 7;
     constexpr auto patience = 20s;
-    /// Time between the starts of the first core and of all others; at most 0.3 s.
+    /// Time between the starts of the first core and of all others, and the longest that the pages allow.
     constexpr auto startSpread = 250ms;
+    constexpr auto maxStartSpread = 300ms;
     /// Time after which the operator sends the configuration for the first time.
     constexpr auto listenTime = 100ms;
     /// Time for which the machine whose disk is lost stays down.
@@ -38,9 +39,11 @@
         std::this_thread::sleep_for(listenTime);
         acknowledging = admin.putConfig(makeConfig(version, { { "r-1", "/r/" } }, { { "kaje80", key } }), patience);
     });
+    const auto begin = std::chrono::steady_clock::now();
     site.startAll(startSpread);
+    const auto spread = std::chrono::steady_clock::now() - begin;
     sender.join();
-    if (!acknowledging)
+    if (!acknowledging || spread > maxStartSpread)
         return case_result::NotRun;
 
     // The node that has acknowledged loses its disk and comes back with an empty one.
