Keep an unanswered acknowledgement unsettled when it is repeated

Callers could see a task run again although it was done. Cause: a poll with an acknowledgement that gets no response can still reach the next incarnation of the worker, so the next start has to raise the fencing token. The flag for that was shared by all polls: the response to a repetition of the acknowledgement cleared it while the first poll was still on its way.

The new test startAfterARepeatedAcknowledgementRaisesTheFencingToken failed before.

Change: an acknowledgement without a response stays unsettled until a new epoch begins, in which the worker refuses it.

--- a/chervilport/control/end_acknowledgement.cpp
+++ b/chervilport/control/end_acknowledgement.cpp
@@ -6,6 +6,14 @@
 
 bool mustAcknowledge(const end_acknowledgement& ends) { return ends.listed > ends.confirmed; }
 
+bool isUnsettled(const end_acknowledgement& ends) { return ends.isInFlight || ends.isUnanswered; }
+
+void beginEpoch(end_acknowledgement& ends)
+{
+    ends.isInFlight = false;
+    ends.isUnanswered = false;
+}
+
 void commitListedEnds(end_acknowledgement& ends) { ends.committed = std::max(ends.committed, ends.listed); }
 
 void restartNumbering(end_acknowledgement& ends)
@@ -20,7 +28,7 @@
 void recordAcknowledgementSent(end_acknowledgement& ends, std::uint64_t acknowledged)
 {
     if (acknowledged > 0)
-        ends.isUnsettled = true;
+        ends.isInFlight = true;
 }
 
 void recordAcknowledgementResult(
@@ -31,8 +39,8 @@
     // The acknowledgement may be that of an earlier incarnation, whose numbers no longer count.
     if (isExecuted && acknowledged <= ends.committed)
         ends.confirmed = std::max(ends.confirmed, acknowledged);
-    if (!canBeExecuted)
-        ends.isUnsettled = false;
+    ends.isUnanswered = ends.isUnanswered || (ends.isInFlight && canBeExecuted);
+    ends.isInFlight = false;
 }
 
 } // namespace chervilport
--- a/chervilport/control/end_acknowledgement.h
+++ b/chervilport/control/end_acknowledgement.h
@@ -14,10 +14,19 @@
     std::uint64_t committed = 0;
     /// Number up to which the worker has confirmed the acknowledgement.
     std::uint64_t confirmed = 0;
-    /// Whether a poll with an acknowledgement has no response yet, or got none, and can still be executed.
-    bool isUnsettled = false;
+    /// Whether a poll with an acknowledgement is in flight.
+    bool isInFlight = false;
+    /// Whether a poll with an acknowledgement of the current epoch got no response and can still be executed. The
+    /// response to a repetition of it does not change that.
+    bool isUnanswered = false;
 };
 
+/// Returns whether a poll with an acknowledgement of the current epoch can still be executed.
+bool isUnsettled(const end_acknowledgement&);
+
+/// Records that a new epoch has begun: the worker refuses polls of the earlier ones once it has seen it.
+void beginEpoch(end_acknowledgement&);
+
 /// Returns whether there are listed ends whose acknowledgement the worker has not confirmed.
 bool mustAcknowledge(const end_acknowledgement&);
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -243,7 +243,7 @@
 void worker_session::beginEpoch()
 {
     m_epoch = m_host.takeEpoch();
-    m_ends.isUnsettled = false;
+    chervilport::beginEpoch(m_ends);
 }
 
 void worker_session::reconcileEarlierIncarnation(const poll_response& response)
--- a/chervilport/control/worker_session_runs.cpp
+++ b/chervilport/control/worker_session_runs.cpp
@@ -48,7 +48,7 @@
         return;
     }
     // The acknowledgement of an earlier incarnation must not discard the end of this run.
-    if (m_ends.isUnsettled)
+    if (isUnsettled(m_ends))
         beginEpoch();
     const auto now = monotonicNow();
     start_request request;
--- a/tests/control/acknowledgement_test.cpp
+++ b/tests/control/acknowledgement_test.cpp
@@ -130,6 +130,30 @@
     cr_assert_gt(fixture.worker.starts.back().fencingToken, acknowledging.fencingToken);
 }
 
+// Guards against the same loss when an acknowledgement without a response is repeated, and the repetition answered: the
+// first one can still arrive.
+Test(workerSession, startAfterARepeatedAcknowledgementRaisesTheFencingToken)
+{
+    session_fixture fixture;
+    fixture.assign(1);
+    fixture.worker.incarnation = 10;
+    fixture.worker.ended = { { 57, firstRun, batch::run_end_kind::Stopped, "" } };
+    fixture.worker.pollReplies = { worker_reply::Done, worker_reply::NoResponse };
+    const auto session = fixture.makeSession();
+    session->open();
+    fixture.runReady();
+    const auto unanswered = fixture.worker.polls.back();
+    cr_assert_eq(unanswered.acknowledgedEnd, 57);
+    for (auto elapsed = 1s; elapsed < 4s; elapsed += 1s) {
+        session->tick(monotonicNow() + elapsed);
+        fixture.runReady();
+    }
+    cr_assert(fixture.worker.ended.empty());
+    fixture.assign(2);
+    session->startRun(secondRun);
+    cr_assert_gt(fixture.worker.starts.back().fencingToken, unanswered.fencingToken);
+}
+
 // Guards against a session that is refused for good: the same incarnation of a worker was removed and recorded again,
 // and has seen the tokens of the earlier session.
 Test(workerSession, nextSessionBeginsWithAHigherFencingToken)
