Take nothing for missing while a worker's lists cannot be read whole

Change: a response without a list is refused like any damaged one. With rows that cannot be read, the others are used as before, but nothing is taken for missing, no acknowledgement passes the unreadable end, and the worker counts as one that does not respond: its lease is not renewed, so that its runs end there before they are placed again.

--- a/chervilport/control/batch_controller.cpp
+++ b/chervilport/control/batch_controller.cpp
@@ -12,6 +12,7 @@
 #include "chervilport/control/lost_work.h"
 #include "chervilport/control/pass_pacing.h"
 #include "chervilport/control/run_times.h"
+#include "chervilport/control/session_log.h"
 #include "chervilport/control/worker_clock.h"
 #include "chervilport/instance/monotonic_now.h"
 #include "chervilport/logging/event_log.h"
@@ -296,8 +297,9 @@
         propose(std::move(command), std::move(done));
     };
     host.changed = [this] { requestPass(); };
-    host.listedPartially = [this](const poll_response&) {
-        m_metrics->increment("chervilport_worker_lists_partial_total", { { "reason", "more_ends" } });
+    host.listedPartially = [this](const poll_response& response) {
+        m_metrics->increment(
+            "chervilport_worker_lists_partial_total", { { "reason", std::string(partialReasonOf(response)) } });
     };
     host.started = [this](const batch::run_ref& run) { recordStartedRun(run); };
     host.progressed = [this](const batch::pace_sample& sample) { recordProgress(sample); };
--- a/chervilport/control/session_host.h
+++ b/chervilport/control/session_host.h
@@ -36,7 +36,7 @@
     std::function<void(batch::batch_command, std::function<void(proposal_result)>)> propose;
     /// Called when the session's worker may have become usable or unusable, or healthy or unhealthy.
     std::function<void()> changed;
-    /// Called with a response that lists a part of the worker's ends.
+    /// Called with a response that lists a part of the worker's ends or has rows that cannot be read.
     std::function<void(const poll_response&)> listedPartially;
     /// Called when the worker has confirmed the start of a run.
     std::function<void(const batch::run_ref&)> started;
--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -27,11 +27,16 @@
         { { "worker", worker }, { "up_to", upTo }, { "born", incarnation }, { "recorded", recordedIncarnation } });
 }
 
+std::string_view partialReasonOf(const poll_response& response)
+{
+    return response.hasUnreadableRows ? "unreadable_rows" : "more_ends";
+}
+
 void logPartialList(
     std::string_view worker, const poll_response& response, std::size_t unlistedRuns, const end_acknowledgement& ends)
 {
     logEvent("worker_list_partial",
-        { { "worker", worker }, { "reason", "more_ends" }, { "running", response.running.size() },
+        { { "worker", worker }, { "reason", partialReasonOf(response) }, { "running", response.running.size() },
             { "ended", response.ended.size() }, { "unlisted", unlistedRuns }, { "listed", ends.listed },
             { "acknowledged", ends.confirmed } },
         log_level::Warning);
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -29,7 +29,10 @@
 void logEndsAcknowledged(
     std::string_view worker, std::uint64_t upTo, std::int64_t incarnation, std::int64_t recordedIncarnation);
 
-/// A worker has listed a part of its ends. `unlistedRuns` counts the tracked runs that it
+/// Returns why a response that is not complete leaves something out, for logs and metrics.
+std::string_view partialReasonOf(const poll_response&);
+
+/// A worker has listed a part of its ends, or rows that cannot be read. `unlistedRuns` counts the tracked runs that it
 /// may have and has not listed.
 void logPartialList(
     std::string_view worker, const poll_response&, std::size_t unlistedRuns, const end_acknowledgement&);
--- a/chervilport/control/worker_client.cpp
+++ b/chervilport/control/worker_client.cpp
@@ -29,6 +29,8 @@
     return "unknown";
 }
 
+bool isComplete(const poll_response& response) { return !response.hasMoreEnds && !response.hasUnreadableRows; }
+
 std::set<batch::run_ref> runsIn(const poll_response& response)
 {
     std::set<batch::run_ref> runs;
--- a/chervilport/control/worker_client.h
+++ b/chervilport/control/worker_client.h
@@ -128,8 +128,13 @@
     /// Whether the worker may have more ends: it lists a limited number at a time, and further ones once these are
     /// acknowledged.
     bool hasMoreEnds = false;
+    /// Whether a run or an end was left out because it could not be read.
+    bool hasUnreadableRows = false;
 };
 
+/// Returns whether a run that the response does not list is not on the worker and has no end there.
+bool isComplete(const poll_response&);
+
 /// Returns the running and ended runs of a response.
 std::set<batch::run_ref> runsIn(const poll_response&);
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -216,9 +216,9 @@
     if (incarnation < m_incarnation)
         return;
     if (incarnation > m_incarnation) {
-        // The new incarnation accepted the start requests of the runs that it lists.
-        // A run that a partial list leaves out may be one of them, so it does not count as a suspect.
-        if (!response.hasMoreEnds)
+        // The new incarnation accepted the start requests of the runs that it lists. A run that a partial list leaves
+        // out may be one of them, so it does not count as a suspect.
+        if (isComplete(response))
             proposeCrash(runsIn(response));
         logWorkerRestarted(name(), m_incarnation, incarnation, m_runs.size(), sent.acknowledgedEnd);
         beginIncarnation(incarnation);
@@ -231,6 +231,11 @@
     reconcileEnds(response);
     reconcileRunning(response);
     recordCompleteness(response);
+    if (response.hasUnreadableRows) {
+        // What the worker executes and has ended is not known. Without a renewed lease its runs end.
+        recordFailedPoll({ worker_reply::Done, response.result.clockMs, "rows that cannot be read" });
+        return;
+    }
     // Mark the worker as reachable.
     if (!m_polled || m_failedPolls > 0)
         logWorkerReached(worker->report.id, m_host.term, response);
@@ -327,7 +332,7 @@
 void worker_session::recordCompleteness(const poll_response& response)
 {
     m_hasMoreEnds = response.hasMoreEnds;
-    if (!response.hasMoreEnds)
+    if (isComplete(response))
         return;
     const auto unlisted
         = std::count_if(m_runs.begin(), m_runs.end(), [](const auto& entry) { return isUnlisted(entry.second); });
@@ -340,7 +345,9 @@
     for (const auto& reported : response.ended) {
         if (reported.number <= m_ends.committed)
             continue;
-        m_ends.listed = std::max(m_ends.listed, reported.number);
+        // An acknowledgement must not pass an end that could not be read.
+        if (!response.hasUnreadableRows)
+            m_ends.listed = std::max(m_ends.listed, reported.number);
         const auto found = m_runs.find(reported.run);
         if (found == m_runs.end()) {
             logUnmatchedEnd(reported, name());
@@ -375,7 +382,7 @@
             }
             self->reconcileEnds(response);
             if (!response.hasMoreEnds) {
-                done(true);
+                done(isComplete(response));
                 return;
             }
             self->m_awaitingLastEnds.push_back(done);
--- a/tests/control/fake_worker.cpp
+++ b/tests/control/fake_worker.cpp
@@ -66,6 +66,7 @@
               const auto respond = [this, done](worker_reply result) {
                   poll_response response { { result, clockIn(*this, result), {} }, incarnation, running, ended };
                   response.hasMoreEnds = ended.size() >= maxListedEnds;
+                  response.hasUnreadableRows = hasUnreadableRows;
                   response.ended.resize(std::min(ended.size(), maxListedEnds));
                   done(response);
               };
--- a/tests/control/fake_worker.h
+++ b/tests/control/fake_worker.h
@@ -35,6 +35,8 @@
     std::vector<reported_end> ended;
     /// Number of ends in a response at most.
     std::size_t maxListedEnds = 500;
+    /// Whether responses to polls have rows that cannot be read.
+    bool hasUnreadableRows = false;
     std::int64_t incarnation = 0;
     /// Whether responses to polls with a wait time are held until `heldPoll` is called.
     bool holdPolls = true;
--- a/tests/control/incomplete_list_test.cpp
+++ b/tests/control/incomplete_list_test.cpp
@@ -180,3 +180,40 @@
     fixture.tick(4, requestDelay / 2);
     fixture.expectAllDone();
 }
+
+// Guards against a second run of a task that is done: the row with its end cannot be read, and its run is taken for
+// missing, or the end is discarded with those after it.
+Test(workerSession, runIsNotMissingWhileRowsCannotBeRead)
+{
+    list_fixture fixture;
+    fixture.worker.maxListedEnds = 500;
+    for (std::uint32_t index = 0; index < tasks; ++index)
+        fixture.worker.running.push_back({ runOf(index), "", 0 });
+    fixture.session = fixture.makeSession(monotonicNow() + 60s);
+    fixture.worker.holdPolls = true;
+    fixture.session->open();
+    fixture.runReady();
+    std::this_thread::sleep_for(confirmationAge);
+    // The end of the first run is left out.
+    fixture.worker.holdPolls = false;
+    fixture.worker.hasUnreadableRows = true;
+    fixture.finishAllRuns();
+    const auto first = fixture.worker.ended.front();
+    fixture.worker.ended.erase(fixture.worker.ended.begin());
+    fixture.worker.heldPoll();
+    fixture.runReady();
+    fixture.session->tick(monotonicNow() + 1s);
+    fixture.runReady();
+    cr_assert_eq(fixture.ends().size(), tasks - 1);
+    cr_assert_not(fixture.session->isUsable());
+    cr_assert(fixture.worker.stops.empty());
+    cr_assert_eq(fixture.worker.polls.back().acknowledgedEnd, 0);
+    cr_assert_not(fixture.worker.polls.back().leaseUntilMs.has_value());
+    // Once all rows can be read, the run ends as done.
+    fixture.worker.hasUnreadableRows = false;
+    fixture.worker.ended.insert(fixture.worker.ended.begin(), first);
+    fixture.session->tick(monotonicNow() + 3s);
+    fixture.runReady();
+    fixture.expectAllDone();
+    cr_assert(fixture.worker.ended.empty());
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -131,6 +131,7 @@
     cr_assert_eq(poll.running.size(), 1);
     cr_assert(poll.running.front().checkpoint == "00000bb87a21d94b");
     cr_assert_eq(poll.ended.size(), 2);
+    cr_assert(poll.hasUnreadableRows);
     cr_assert_eq(poll.ended[0].number, 58);
     cr_assert(poll.ended[0].kind == batch::run_end_kind::Done);
     cr_assert(poll.ended[1].kind == batch::run_end_kind::GangIncomplete);
@@ -151,6 +152,15 @@
     cr_assert(readPollResponse(bodyWith(500), target).hasMoreEnds);
 }
 
+// Guards against a response that is damaged and passes for one of a worker without runs and ends.
+Test(workerWire, responseWithoutAListIsRefused)
+{
+    cr_assert_not(readPollResponse(R"({"clock_ms":1,"running":[],"finished":[]})", target).hasUnreadableRows);
+    cr_assert_throw(readPollResponse(R"({"clock_ms":1,"running":[]})", target), chervilport_error);
+    cr_assert_throw(readPollResponse(R"({"clock_ms":1,"finished":[]})", target), chervilport_error);
+    cr_assert_throw(readPollResponse(R"({"clock_ms":1,"running":null,"finished":[]})", target), chervilport_error);
+}
+
 // Guards against refusals that are confused, as each is handled differently.
 Test(workerWire, refusalsKeepTheirReason)
 {
