Number the batches of commands to a worker

On our own interface a task could run again although it was done: a worker forgets a task once its end is acknowledged, and a start command that was delayed until then named a task that it did not know. The leader sends start commands again twice a second until the start is committed, so a second copy on its way is common.

Change: each batch carries its number within the epoch and the incarnation of the worker it is meant for. A worker starts no task of a batch that is not the latest; the leader sends again what it still wants. Stops still apply. The fields are additions; a worker that ignores them behaves as before.

The test startCommandThatArrivesLateRunsNoTaskAgain fails when the stand-in worker ignores the number, and passes with it.

--- a/chervilport/instance/worker_commands.cpp
+++ b/chervilport/instance/worker_commands.cpp
@@ -39,7 +39,7 @@
 }
 
 std::map<std::string, std::string> batchWorkerCommands(
-    std::span<const command> commands, const schedule_state& schedule, std::uint64_t epoch)
+    std::span<const command> commands, const schedule_state& schedule, const batch_position& position)
 {
     std::map<std::string, nlohmann::json> batches;
     for (const auto& each : commands) {
@@ -57,7 +57,10 @@
     }
     std::map<std::string, std::string> bodies;
     for (auto& [worker, batch] : batches) {
-        batch["epoch"] = epoch;
+        batch["epoch"] = position.epoch;
+        batch["sequence"] = position.sequence;
+        if (const auto known = findWorker(schedule, worker))
+            batch["incarnation"] = known->incarnation;
         bodies[worker] = batch.dump();
     }
     return bodies;
--- a/chervilport/instance/worker_controller.cpp
+++ b/chervilport/instance/worker_controller.cpp
@@ -240,8 +240,8 @@
 {
     if (!m_leading || !m_group->mayExecute())
         return;
-    const auto epoch = m_group->status().term;
-    for (const auto& [worker, body] : batchWorkerCommands(commands, m_domain->schedule(), epoch)) {
+    const batch_position position { m_group->status().term, ++m_lastBatch };
+    for (const auto& [worker, body] : batchWorkerCommands(commands, m_domain->schedule(), position)) {
         http_request request { "POST", "/tasks", { { "Content-Type", "application/json" } }, body };
         m_config.send(worker, std::move(request));
     }
--- a/chervilport/instance/worker_controller.h
+++ b/chervilport/instance/worker_controller.h
@@ -88,6 +88,8 @@
     std::shared_ptr<replica_group> m_group;
     std::map<std::string, worker_lease, std::less<>> m_leases;
     log_time m_leadingSince;
+    /// Number of the last batch of commands; never reset, so that it rises within each epoch.
+    std::uint64_t m_lastBatch = 0;
     bool m_leading = false;
     bool m_stopped = false;
 };
--- a/standins/worker/standin_worker.cpp
+++ b/standins/worker/standin_worker.cpp
@@ -86,17 +86,29 @@
             { 409, {}, "the epoch " + std::to_string(epoch) + " is older than epoch " + std::to_string(m_epoch) });
         return;
     }
-    m_epoch = epoch;
     responder({ 200, {}, "" });
-    applyCommands(batch);
+    applyCommands(batch, isNext(batch, epoch));
+}
+
+bool standin_worker::isNext(const json& batch, std::uint64_t epoch)
+{
+    if (batch.value("incarnation", m_incarnation) != m_incarnation)
+        return false;
+    if (epoch > m_epoch)
+        m_lastBatch = 0;
+    m_epoch = epoch;
+    const auto sequence = batch.value("sequence", m_lastBatch + 1);
+    const bool isLater = sequence > m_lastBatch;
+    m_lastBatch = std::max(m_lastBatch, sequence);
+    return isLater;
 }
 
-void standin_worker::applyCommands(const json& batch)
+void standin_worker::applyCommands(const json& batch, bool mayStart)
 {
     // Stop tasks always, but start none without a lease: the leader resends the commands once there is a lease.
     for (const auto& item : batch.value("stop", json::array()))
         stopTask(item);
-    if (m_hasLease) {
+    if (m_hasLease && mayStart) {
         for (const auto& item : batch.value("start", json::array()))
             startTask(item);
     }
@@ -217,6 +229,8 @@
     const auto epoch = response.value("epoch", std::uint64_t { 0 });
     if (epoch < m_epoch)
         return;
+    if (epoch > m_epoch)
+        m_lastBatch = 0;
     m_epoch = epoch;
     m_hasLease = true;
     m_leaseEnd = sentAt + std::chrono::milliseconds(response.value("lease_ms", 0));
@@ -286,6 +300,8 @@
         { "started_tasks", m_startedTasks },
         { "most_tasks_at_once", m_maxTasks },
         { "epoch", m_epoch },
+        { "incarnation", m_incarnation },
+        { "tasks", m_tasks.size() },
     };
     return body.dump();
 }
--- a/standins/worker/standin_worker.h
+++ b/standins/worker/standin_worker.h
@@ -43,7 +43,9 @@
     struct timers;
 
     void handle(const http_request&, const http_responder&);
-    void applyCommands(const nlohmann::json& batch);
+    /// Returns whether a batch is meant for this incarnation and later than all that have arrived.
+    bool isNext(const nlohmann::json& batch, std::uint64_t epoch);
+    void applyCommands(const nlohmann::json& batch, bool mayStart);
     void startTask(const nlohmann::json& item);
     void stopTask(const nlohmann::json& item);
     void endTask(const task_key&, std::uint64_t serial, const std::string& state);
@@ -63,6 +65,7 @@
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_lastBatch = 0;
     std::uint64_t m_serial = 0;
     std::uint64_t m_startedTasks = 0;
     std::size_t m_instanceIndex = 0;
--- a/tests/session/worker_lease_test.cpp
+++ b/tests/session/worker_lease_test.cpp
@@ -72,3 +72,25 @@
     waitForState(cluster, other, id, "succeeded");
     cr_assert_eq(showJob(cluster, other, id)["attempt"].get<int>(), 1);
 }
+
+// Guards against a task that runs again although it is done: a start command is delivered once more after the worker
+// has forgotten the task, whose end was acknowledged.
+Test(workerLease, startCommandThatArrivesLateRunsNoTaskAgain)
+{
+    session_cluster cluster({ { 1, "local", true, true } });
+    cluster.startAll();
+    cluster.startStandin(STANDIN_WORKER_PATH, { 1 }, { "--count", "1" });
+    waitForWorkers(cluster, 1, 1);
+    const auto id = submitGang(cluster, 1, 1'000);
+    waitForState(cluster, 1, id, "running");
+    const auto worker = showJob(cluster, 1, id).at("workers").front().get<std::string>();
+    waitForState(cluster, 1, id, "succeeded");
+    const auto readRecord = [&] { return sendSessionCall({ "GET", worker, "/record", {}, {} }).json(); };
+    waitUntil("the worker has forgotten its tasks", [&] { return readRecord().at("tasks") == 0; });
+    const auto before = readRecord();
+    auto late = nlohmann::json::parse(R"({"sequence":1,"start":[{"job":1,"attempt":1,"rank":0,"payload":""}]})");
+    late["epoch"] = before.at("epoch");
+    late["incarnation"] = before.at("incarnation");
+    cr_assert_eq(sendSessionCall({ "POST", worker, "/tasks", {}, late.dump() }).status, 200);
+    cr_assert_eq(readRecord().at("started_tasks"), before.at("started_tasks"));
+}
