Tell in the job list whether it is cut short

A caller who looks for its job in GET /v1/jobs could take a job beyond the limit for one that was never submitted, and submit it again: nothing told that the list was cut. The answer has a member `more` now, and `job list` prints a line for it.

--- a/apps/chervilport/job_commands.cpp
+++ b/apps/chervilport/job_commands.cpp
@@ -253,6 +253,8 @@
         rows.push_back(std::move(row));
     }
     printTable(std::cout, rows);
+    if (response.value("more", false))
+        std::cerr << "older jobs are not listed; `job show ID` tells whether there is one\n";
     return exitOk;
 }
 
--- a/chervilport/instance/job_controller.cpp
+++ b/chervilport/instance/job_controller.cpp
@@ -7,6 +7,7 @@
 #include "chervilport/instance/job_json.h"
 #include "chervilport/logging/log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -86,10 +87,13 @@
     const http_request& request, std::string_view workspace, std::size_t limit, const reply_callback& reply) const
 {
     checkCallerWorkspace(request, workspace);
+    // One job above the limit tells whether the list is cut short.
+    const auto found = listJobs(m_domain->schedule(), workspace, limit + 1);
+    const bool hasMore = found.size() > limit;
     nlohmann::json jobs = nlohmann::json::array();
-    for (const auto& job : listJobs(m_domain->schedule(), workspace, limit))
-        jobs.push_back(jobToJson(m_failureDomain, job));
-    reply(jsonResponse(200, { { "jobs", std::move(jobs) } }));
+    for (std::size_t i = 0; i < std::min(found.size(), limit); ++i)
+        jobs.push_back(jobToJson(m_failureDomain, found[i]));
+    reply(jsonResponse(200, { { "jobs", std::move(jobs) }, { "more", hasMore } }));
 }
 
 http_response job_controller::describe(std::uint64_t number, int status) const
