Wait for the poll in flight when a worker leaves

A task that is done could run again when its worker leaves. The response to the poll in flight, which the worker may have given before, comes over another connection and was ignored if it came later. A leader that may not poll at that moment also took the worker for one without ends.

Change: if the last poll has no response, the leave waits for the poll in flight, which has a timeout; a leader that may not poll answers that the outcome is unknown. The test leaveWaitsForTheResponseToThePollInFlight failed before.

The test workerThatLeavesWithoutAResponseIsRemoved left the poll in flight open for good, which a timeout does not allow; it now lets that poll end without a response too and expects the same removal.

--- a/chervilport/control/session_log.cpp
+++ b/chervilport/control/session_log.cpp
@@ -42,6 +42,13 @@
         log_level::Warning);
 }
 
+void logLastList(std::string_view worker, const poll_response& response)
+{
+    logEvent("worker_last_list",
+        { { "worker", worker }, { "reply", nameOf(response.result.reply) }, { "running", response.running.size() },
+            { "ended", response.ended.size() }, { "detail", response.result.detail } });
+}
+
 void logUnmatchedEnd(const reported_end& end, std::string_view worker)
 {
     logEvent("run_end_unmatched",
--- a/chervilport/control/session_log.h
+++ b/chervilport/control/session_log.h
@@ -37,6 +37,9 @@
 void logPartialList(
     std::string_view worker, const poll_response&, std::size_t unlistedRuns, const end_acknowledgement&);
 
+/// A worker that says that it leaves has responded to the last poll, or not.
+void logLastList(std::string_view worker, const poll_response&);
+
 /// A worker lists the end of a run that is not tracked: another leader has recorded its end, or this one gave it up.
 void logUnmatchedEnd(const reported_end&, std::string_view worker);
 
--- a/chervilport/control/worker_session.cpp
+++ b/chervilport/control/worker_session.cpp
@@ -156,11 +156,19 @@
     m_pollAgain = false;
     const sent_poll sent { now, m_incarnation, recordedIncarnation(), request.acknowledgedEnd, request.fencingToken,
         request.leaseUntilMs.has_value() };
-    m_host.client->poll(target(), request, [self = shared_from_this(), sent](const poll_response& response) {
-        self->m_pollInFlight = false;
-        if (!self->m_closed && !self->m_incarnationEnded)
-            self->handlePoll(response, sent);
-    });
+    m_host.client->poll(target(), request,
+        [self = shared_from_this(), sent](const poll_response& response) { self->completePoll(response, sent); });
+}
+
+void worker_session::completePoll(const poll_response& response, const sent_poll& sent)
+{
+    const auto self = shared_from_this();
+    m_pollInFlight = false;
+    const auto waiting = std::exchange(m_awaitingPoll, {});
+    if (!m_closed && !m_incarnationEnded)
+        handlePoll(response, sent);
+    for (const auto& done : waiting)
+        done(true);
 }
 
 bool worker_session::mayAcknowledge() const
@@ -364,30 +372,48 @@
 
 void worker_session::collectLastEnds(std::function<void(bool)> done)
 {
-    if (m_closed || m_incarnationEnded || m_runs.empty() || !m_host.mayExecute()) {
+    if (m_incarnationEnded || m_runs.empty()) {
         done(true);
         return;
     }
+    if (m_closed || !m_host.mayExecute()) {
+        // Another leader, or a later call, reads the ends.
+        done(false);
+        return;
+    }
     // Neither the lease is renewed nor ends acknowledged: the worker ends, and the poll in flight may do so.
     poll_request request;
     request.fencingToken = fencingToken();
     m_host.client->poll(target(), request,
         [self = shared_from_this(), incarnation = m_incarnation, done = std::move(done)](
-            const poll_response& response) {
-            const bool isCurrent = !self->m_closed && !self->m_incarnationEnded && self->m_incarnation == incarnation;
-            const bool isSame = response.incarnation == 0 || response.incarnation == incarnation;
-            if (!isCurrent || !isSame || response.result.reply != worker_reply::Done) {
-                done(true);
-                return;
-            }
-            self->reconcileEnds(response);
-            if (!response.hasMoreEnds) {
-                done(isComplete(response));
-                return;
-            }
-            self->m_awaitingLastEnds.push_back(done);
-            self->m_lastEndsSince = monotonicNow();
-        });
+            const poll_response& response) { self->handleLastPoll(response, incarnation, done); });
+}
+
+void worker_session::handleLastPoll(
+    const poll_response& response, std::int64_t incarnation, const std::function<void(bool)>& done)
+{
+    logLastList(name(), response);
+    const bool isCurrent = !m_closed && !m_incarnationEnded && m_incarnation == incarnation;
+    const bool isSame = response.incarnation == 0 || response.incarnation == incarnation;
+    if (!isCurrent || !isSame) {
+        done(true);
+        return;
+    }
+    if (response.result.reply != worker_reply::Done) {
+        // The worker may have answered the poll in flight before it ended.
+        if (m_pollInFlight)
+            m_awaitingPoll.push_back(done);
+        else
+            done(true);
+        return;
+    }
+    reconcileEnds(response);
+    if (!response.hasMoreEnds) {
+        done(isComplete(response));
+        return;
+    }
+    m_awaitingLastEnds.push_back(done);
+    m_lastEndsSince = monotonicNow();
 }
 
 void worker_session::finishLastEnds(bool hasAllEnds)
--- a/chervilport/control/worker_session.h
+++ b/chervilport/control/worker_session.h
@@ -93,10 +93,12 @@
     bool mayAcknowledge() const;
     void beginEpoch();
     void poll();
+    void completePoll(const poll_response&, const sent_poll&);
     void handlePoll(const poll_response&, const sent_poll&);
     void handleFailedPoll(const worker_result&, const sent_poll&);
     void recordResult(const worker_result&);
     void recordFailedPoll(const worker_result&);
+    void handleLastPoll(const poll_response&, std::int64_t incarnation, const std::function<void(bool)>& done);
     void finishLastEnds(bool hasAllEnds);
     void recordCompleteness(const poll_response&);
     void settleEarlierStarts(log_time firstPollAt);
@@ -142,6 +144,8 @@
     /// Earliest end of a worker that drains.
     log_time m_earliestEnd;
     end_acknowledgement m_ends;
+    /// Callers of `collectLastEnds` that wait for the response to the poll in flight, as the last poll got none.
+    std::vector<std::function<void(bool)>> m_awaitingPoll;
     /// Callers of `collectLastEnds` that wait until the worker has listed all its ends.
     std::vector<std::function<void(bool)>> m_awaitingLastEnds;
     /// When the last of them began to wait. The response to an earlier poll can be older than the list that it saw.
--- a/tests/control/batch_calls_test.cpp
+++ b/tests/control/batch_calls_test.cpp
@@ -327,12 +327,42 @@
     reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
     fixture.run();
     fixture.worker.pollReplies = { worker_reply::NoResponse };
+    fixture.worker.heldPollReply = worker_reply::NoResponse;
     removeWorker(*fixture.jobs, "w", fixture.recordResult());
     fixture.run();
+    fixture.worker.heldPoll();
+    fixture.run();
     cr_assert(fixture.jobs->state().workers.empty());
     cr_assert(showJob(*fixture.jobs, "job").phase == batch::job_phase::Active);
 }
 
+// Guards against a task that runs again although it is done: the worker ends with its leave call, so that the last poll
+// finds nobody, and its response to the poll in flight, which lists the end, arrives after that.
+Test(batchCalls, leaveWaitsForTheResponseToThePollInFlight)
+{
+    calls_fixture fixture;
+    becomeLeader(*fixture.jobs);
+    configureWithWorker(fixture);
+    const batch::resolved_call resolved { &fixture.jobs->state().config.queues.front(), "main", "job" };
+    submitJob(*fixture.jobs, requestOf("job"), resolved, fixture.recordResult());
+    fixture.run();
+    const auto run = fixture.worker.starts.front().run;
+    fixture.worker.running = { { run, "", 0 } };
+    fixture.worker.heldPoll();
+    reportWorker(*fixture.jobs, reportOf(10, 2, true), fixture.recordResult());
+    fixture.run();
+    fixture.worker.running.clear();
+    fixture.worker.ended = { { 1, run, batch::run_end_kind::Done, "" } };
+    fixture.worker.pollReplies = { worker_reply::NotSent };
+    removeWorker(*fixture.jobs, "w", fixture.recordResult());
+    fixture.run();
+    fixture.worker.heldPoll();
+    fixture.run();
+    cr_assert(fixture.results.back() == call_result::Applied);
+    cr_assert(fixture.jobs->state().workers.empty());
+    cr_assert(showJob(*fixture.jobs, "job").phase == batch::job_phase::Completed);
+}
+
 // Guards against a job that starts after its cancellation was acknowledged: an instance that was suspended relays the
 // submission seconds later, or the submission is not committed yet when the cancellation arrives.
 Test(batchCalls, jobCancelledBeforeItIsRecordedNeverStarts)
--- a/tests/control/incomplete_list_test.cpp
+++ b/tests/control/incomplete_list_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/control/session_fixture.h"
 
 #include <criterion/criterion.h>
+#include <optional>
 
 using namespace chervilport;
 using namespace chervilport::control_tests;
@@ -217,3 +218,18 @@
     fixture.expectAllDone();
     cr_assert(fixture.worker.ended.empty());
 }
+
+// Guards against runs that end as lost when their worker leaves, since the leader may not poll it at that moment.
+Test(workerSession, lastEndsAreNotReadByALeaderThatMayNotExecute)
+{
+    list_fixture fixture;
+    fixture.session = fixture.makeSession();
+    fixture.session->open();
+    fixture.runReady();
+    fixture.isLeader = false;
+    std::optional<bool> hasAllEnds;
+    fixture.session->collectLastEnds([&](bool all) { hasAllEnds = all; });
+    fixture.runReady();
+    cr_assert(hasAllEnds.has_value());
+    cr_assert_not(*hasAllEnds);
+}
