--- a/tests/control/incomplete_list_test.cpp
+++ b/tests/control/incomplete_list_test.cpp
@@ -223,6 +223,9 @@
 Test(workerSession, lastEndsAreNotReadByALeaderThatMayNotExecute)
 {
     list_fixture fixture;
+    for (std::uint32_t index = 0; index < tasks; ++index)
+        fixture.worker.running.push_back({ runOf(index), "", 0 });
+    fixture.worker.holdPolls = true;
     fixture.session = fixture.makeSession();
     fixture.session->open();
     fixture.runReady();
